--- a/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
@@ -35,6 +35,9 @@
 /** Memory of a replica whose ledger never answered: below every engine of the users. */
 const FIRST_CAPACITY_TOKENS = 30_000
 
+/** Kept of a caller's patience for errors of the forecast. */
+const PATIENCE_MARGIN_MS = 600
+
 /** Margin before the result of a prefill lapses. */
 const HANDLE_MARGIN_MS = 120
 
@@ -149,10 +152,14 @@
   return { type: 'refuse', status: request.runs > 0 ? 502 : 503, reason, retryAfterMs }
 }
 
-// What is left of the target once the prompt is read and the first event made.
+// Until the caller would give up, less what follows the wait. A late answer is
+// worth less than one on time but more than a refusal, and the ledger serves
+// those first that can be on time.
 function longestWaitMs ({ nowMs }: RouterContext, request: RequestState, leadMs: number): number {
-  const untilTargetMs = request.targetAtMs - nowMs - leadMs - FIRST_EVENT_MS
-  if (request.handle === undefined) return untilTargetMs
+  if (request.handle === undefined) {
+    const givenUpAtMs = Math.min(request.arrivedAtMs + request.route.patienceMs, request.deadlineAtMs)
+    return givenUpAtMs - PATIENCE_MARGIN_MS - nowMs - leadMs - FIRST_EVENT_MS
+  }
   return request.handle.expiresAtMs - HANDLE_MARGIN_MS - nowMs
 }
 
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
@@ -201,11 +201,13 @@
   else state.waiting.push({ ...ask, askedAtMs: nowMs })
 }
 
-// The most important first, then the one that is due first.
+// The most important first; then those that can still be on time, the one that
+// is due first before the others; then those that are late, in their order.
 function grantWaiting (state: LedgerState, nowMs: number, effects: LedgerEffect[]): void {
   if (state.waiting.length === 0) return
   const left: Waiting[] = []
-  const inOrder = [...state.waiting].sort((a, b) => a.priority - b.priority || dueMs(a) - dueMs(b))
+  const isLate = (ask: Waiting): number => dueMs(ask) < nowMs + ask.leadMs ? 1 : 0
+  const inOrder = [...state.waiting].sort((a, b) => a.priority - b.priority || isLate(a) - isLate(b) || dueMs(a) - dueMs(b))
   for (const ask of inOrder) {
     const isBlocked = left.length > 0
     if (!isBlocked && freeTokens(state, nowMs) >= ask.promptTokens && fits(forecastOf(state, nowMs), toOccupant(state, ask, nowMs))) {
