Take the work of prefill as busy replicas and change pools more rarely

Cause: queued prompts were counted as work, so that one burst moved a decode replica to the prefill pool and back (12 s of its time lost).

--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -125,6 +125,8 @@
   let lastEventId: string | undefined
   let outputEvents = 0
   let isOver = false
+  let relayedAtMs: number | undefined
+  let longestGapMs = 0
 
   function fail (failure: SendFailure): void {
     if (isOver) return
@@ -162,6 +164,9 @@
     const events = split(chunk)
     lastEventId = events.lastEventId ?? lastEventId
     outputEvents = events.count
+    const nowMs = loop.clock.nowMs()
+    if (relayedAtMs !== undefined) longestGapMs = Math.max(longestGapMs, nowMs - relayedAtMs)
+    relayedAtMs = nowMs
     relay(events.bytes)
   }
 
@@ -191,7 +196,7 @@
       const send = sends.get(key)
       send?.cancelTimeout()
       if (!isRelaying && send !== undefined) send.held = { status, headers, body: Buffer.concat(chunks) }
-      loop.dispatch({ type: 'answer_complete', key, attempt, status, outputEvents })
+      loop.dispatch({ type: 'answer_complete', key, attempt, status, outputEvents, longestGapMs: Math.round(longestGapMs) })
     },
     onFail: (_, isSent) => fail(isSent ? 'unknown' : 'not_sent')
   }
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -60,7 +60,7 @@
   /** Bytes of the answer go to the caller from now on. */
   | { readonly type: 'answer_started', readonly key: string, readonly attempt: number }
   /** The whole answer is here; `status` is the replica's. */
-  | { readonly type: 'answer_complete', readonly key: string, readonly attempt: number, readonly status: number, readonly outputEvents: number }
+  | { readonly type: 'answer_complete', readonly key: string, readonly attempt: number, readonly status: number, readonly outputEvents: number, readonly longestGapMs?: number }
   | { readonly type: 'run_failed', readonly key: string, readonly attempt: number, readonly failure: SendFailure, readonly lastEventId?: string }
   | { readonly type: 'caller_left', readonly key: string }
   | { readonly type: 'deadline_passed', readonly key: string }
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -11,8 +11,8 @@
 import type { RouterEventOf } from './BendfallRouterEvents.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
 
-/** Weight of the newest reading of the work: with two readings a second the last five seconds count. */
-const WORK_WEIGHT = 0.1
+/** Weight of the newest reading of the work: with two readings a second the last twelve seconds count, more than a burst lasts. */
+const WORK_WEIGHT = 0.04
 
 /** Beyond the time that a change takes, until its effect on the work is seen. */
 const SETTLE_MS = 4_000
@@ -78,7 +78,7 @@
   for (const belief of beliefs) {
     const { load } = belief
     if (load === undefined) continue
-    if (stageOf(belief) === 'prefill') now.prefill += load.backlog
+    if (stageOf(belief) === 'prefill') now.prefill += Math.min(1, load.backlog)
     else if (load.capacityTokens > 0) now.decode += 1 - (load.roomTokens[0] ?? 0) / load.capacityTokens
   }
   const former = state.poolWork.get(service) ?? { prefill: 0, decode: 0 }
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -41,6 +41,7 @@
   answer_complete: (context, event) => withAttempt(context, event, (request) =>
     request.phase === 'plain' ? takePlainAnswer(context, request, event) : takeRunAnswer(context, request, event)),
   answer_started: (context, event) => withAttempt(context, event, (request) => {
+    if (!request.isCommitted) logDecision(context, request, 'answer_started', { replica: request.runAt, sinceSentMs: Math.round(context.nowMs - (request.runSentAtMs ?? context.nowMs)), isLate: context.nowMs > request.targetAtMs })
     request.isCommitted = true
     return undefined
   }),
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -69,7 +69,7 @@
   if (belief !== undefined && event.status >= 500) noteFailure(belief, context.nowMs)
   leaveRun(context, request)
   context.effects.push({ type: 'deliver', key: request.key })
-  endAnswered(context, request, { status: event.status, replica, events: event.outputEvents })
+  endAnswered(context, request, { status: event.status, replica, events: event.outputEvents, longestGapMs: event.longestGapMs })
   return undefined
 }
 
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -32,7 +32,7 @@
 const WORTHWHILE_LOAD = 0.6
 
 /** A change must lower the load of the busier pool by this much. */
-const WORTHWHILE_GAIN = 0.1
+const WORTHWHILE_GAIN = 0.15
 
 /** Work of both pools below this is none. */
 const NO_WORK = 0.05
