--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterEntry.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterEntry.test.ts
@@ -165,6 +165,20 @@
   assert.is(only(world.send(arrival('1', '/rates/1')), 'refuse').reason, 'no_replica')
 })
 
+test('a replica whose address another one has is left alone at once', () => {
+  const world = createWorld([plainRoute()], [replicaOf('a1', 'plain'), replicaOf('a2', 'plain')])
+  const first = only(world.send(arrival('1', '/rates/1')), 'send_run')
+  world.send({ type: 'run_failed', key: '1', attempt: first.attempt, failure: 'wrong_replica' })
+  for (let i = 0; i < 8; i++) assert.is.not(only(world.send(arrival(`next-${i}`, '/rates/1')), 'send_run').replicaId, first.replicaId)
+})
+
+test('a replica that registers at the address of another takes its place', () => {
+  const world = createWorld([plainRoute()], [replicaOf('a1', 'plain')])
+  world.send({ type: 'replicas_changed', present: [replicaOf('a9', 'plain', { address: 'a1:80' })], gone: [] })
+  world.send({ type: 'replicas_changed', present: [replicaOf('a1', 'plain'), replicaOf('a9', 'plain', { address: 'a1:80' })], gone: [] })
+  assert.equal([...world.state.replicas.keys()], ['a9'])
+})
+
 test('a process that stops refuses streams that it could not finish', () => {
   const world = modelWorld()
   world.send({ type: 'stop_asked', graceMs: 7_300 })
--- a/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Replica, ReplicaStage } from '../BendfallRouterTypes.js'
+import type { SendFailure } from './BendfallRouterEvents.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { ReplicaBelief, RequestState } from './BendfallRouterState.js'
 
@@ -92,11 +93,14 @@
  *
  * @param belief - about the replica
  * @param nowMs - the time
+ * @param failure - how the send failed
  */
-export function noteFailure (belief: ReplicaBelief, nowMs: number): void {
+export function noteFailure (belief: ReplicaBelief, nowMs: number, failure: SendFailure = 'unknown'): void {
+  // Its address has another replica now, or it changed its pool: its registration is behind.
+  if (failure === 'wrong_replica') belief.suspectUntilMs = nowMs + LONGEST_SUSPICION_MS
   belief.failureShare += AVERAGE_WEIGHT * (1 - belief.failureShare)
   belief.consecutiveFailures += 1
   const beyond = belief.consecutiveFailures - FAILURES_TO_SUSPECT
   if (beyond < 0) return
-  belief.suspectUntilMs = nowMs + Math.min(LONGEST_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** Math.min(beyond, 10))
+  belief.suspectUntilMs = Math.max(belief.suspectUntilMs, nowMs + Math.min(LONGEST_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** Math.min(beyond, 10)))
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -95,7 +95,7 @@
  */
 export function takePlainFailure (context: RouterContext, request: RequestState, failure: SendFailure): NextStep {
   const belief = context.state.replicas.get(request.runAt ?? '')
-  if (belief !== undefined) noteFailure(belief, context.nowMs)
+  if (belief !== undefined) noteFailure(belief, context.nowMs, failure)
   if (request.isCommitted) return { type: 'cut', reason: 'replica_failed' }
   if (hasNotRun(failure)) request.runs -= 1
   if (takeRetry(context, request, failure)) return sendElsewhere(context, request, failure)
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -98,7 +98,7 @@
 export function takePrefillFailure (context: RouterContext, request: RequestState, failure: SendFailure): NextStep {
   const replicaId = request.prefillAt ?? ''
   const belief = context.state.replicas.get(replicaId)
-  if (belief !== undefined) noteFailure(belief, context.nowMs)
+  if (belief !== undefined) noteFailure(belief, context.nowMs, failure)
   request.excluded.add(replicaId)
   leavePrefill(context, request)
   context.effects.push({ type: 'abort_send', key: request.key })
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -86,7 +86,7 @@
   const { failure } = event
   const replicaId = request.runAt ?? ''
   const belief = context.state.replicas.get(replicaId)
-  if (belief !== undefined && failure !== 'not_run') noteFailure(belief, context.nowMs)
+  if (belief !== undefined && failure !== 'not_run') noteFailure(belief, context.nowMs, failure)
   if (hasNotRun(failure)) request.runs -= 1
   if (event.lastEventId !== undefined) request.lastEventId = event.lastEventId
   request.excluded.add(replicaId)
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -103,6 +103,8 @@
 export interface RouterState {
   config?: RouterConfig
   readonly replicas: Map<string, ReplicaBelief>
+  /** Replicas whose address another one has; their registrations are left until they lapse. */
+  readonly replaced: Set<string>
   readonly requests: Map<string, RequestState>
   readonly budgets: Map<string, RetryBudget>
   /** Speed of prefill, learned from answers. */
@@ -130,6 +132,7 @@
 export function createRouterState (seed: number): RouterState {
   return {
     replicas: new Map(),
+    replaced: new Set(),
     requests: new Map(),
     budgets: new Map(),
     prefillMsPerToken: FIRST_PREFILL_MS_PER_TOKEN,
--- a/packages/bendfallctl/src/BendfallctlMain.ts
+++ b/packages/bendfallctl/src/BendfallctlMain.ts
@@ -6,6 +6,7 @@
  */
 import { defineCommand, runMain } from 'citty'
 import { confirmCommand, planCommand } from './BendfallctlPlanCommands.js'
+import { poolsConfirmCommand, poolsPlanCommand } from './BendfallctlPoolsCommands.js'
 import { checkCommand, drainCommand, statusCommand, timelineCommand } from './BendfallctlProcessCommands.js'
 
 const main = defineCommand({
@@ -15,6 +16,8 @@
     confirm: confirmCommand,
     drain: drainCommand,
     plan: planCommand,
+    'pools-confirm': poolsConfirmCommand,
+    'pools-plan': poolsPlanCommand,
     status: statusCommand,
     timeline: timelineCommand
   }
