--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -3,12 +3,11 @@
  *
  * @module
  */
-import type { Logger, Teardown } from 'bendfall-node'
+import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { combineTeardowns } from 'bendfall-node'
 import type { KeyValueEntry, KeyValuePort } from 'bendfall-platform'
 import type { RouterEffect, RouterEvent } from 'bendfall-router'
 import type { DirectoryDialect } from '../BendfallEdgeDialect.js'
-import type { UpdateLoop } from '../BendfallEdgeUpdateLoop.js'
 import { followPrefix } from './BendfallEdgeFollow.js'
 
 /** What the directory needs. */
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerClients.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerClients.ts
@@ -5,11 +5,10 @@
  * @module
  */
 import { AnsweringSessionManager, callUnary, combineTeardowns, pause } from 'bendfall-node'
-import type { Logger, Teardown } from 'bendfall-node'
+import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { LedgerService } from 'bendfall-protocol'
 import type { ReplicaLoad as LoadMessage } from 'bendfall-protocol'
 import type { ConfirmOutcome, Replica, ReplicaLoad, ReplicaStage, ReserveOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
-import type { UpdateLoop } from '../BendfallEdgeUpdateLoop.js'
 
 /** Wait of one call for a changed load. */
 const WATCH_WAIT_MS = 1_000
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerServer.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerServer.ts
@@ -4,14 +4,12 @@
  *
  * @module
  */
-import type { Clock, Logger, Teardown } from 'bendfall-node'
-import { createSignal, listenForPeers, serveUnary } from 'bendfall-node'
-import type { PeerListener } from 'bendfall-node'
+import type { Clock, Logger, PeerListener, Teardown } from 'bendfall-node'
+import { createSignal, createUpdateLoop, listenForPeers, serveUnary } from 'bendfall-node'
 import { LedgerService } from 'bendfall-protocol'
 import type { ReserveMemoryRequest } from 'bendfall-protocol'
 import { createLedgerState, loadOf, reduceLedger } from 'bendfall-router'
 import type { LedgerEffect, LedgerEvent, LedgerState, MemoryAsk } from 'bendfall-router'
-import { createUpdateLoop } from '../BendfallEdgeUpdateLoop.js'
 import type { EngineReport, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import { createConnectionPool } from '../replica/BendfallEdgeConnections.js'
 import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
--- a/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
@@ -3,12 +3,11 @@
  *
  * @module
  */
-import type { Logger, Teardown } from 'bendfall-node'
+import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { combineTeardowns } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
 import type { OrderOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
 import type { ReplicaDialect } from '../BendfallEdgeDialect.js'
-import type { UpdateLoop } from '../BendfallEdgeUpdateLoop.js'
 import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
 import { startReplicaCall } from '../replica/BendfallEdgeReplicaCall.js'
 import { joinElection } from './BendfallEdgeHolderLease.js'
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -5,11 +5,10 @@
  * @module
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import type { Clock, Teardown } from 'bendfall-node'
+import type { Clock, Teardown, UpdateLoop } from 'bendfall-node'
 import { combineTeardowns } from 'bendfall-node'
 import type { RouterEffect, RouterEffectOf, RouterEvent, SendFailure } from 'bendfall-router'
 import type { AnswerHead, RawHeaders, ReplicaDialect } from '../BendfallEdgeDialect.js'
-import type { UpdateLoop } from '../BendfallEdgeUpdateLoop.js'
 import type { Exchange, HeldAnswer } from '../caller/BendfallEdgeExchange.js'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { createEventSplitter } from './BendfallEdgeEventSplitter.js'
--- a/packages/bendfall-node/src/runtime/BendfallNodeRuntime.ts
+++ b/packages/bendfall-node/src/runtime/BendfallNodeRuntime.ts
@@ -6,8 +6,8 @@
  */
 import type { Effect, EffectOf, EffectType, Event, Reducer, State, Step } from 'bendfall-core'
 import type { Clock } from './BendfallNodeClock.js'
-
-type WithoutTime<E> = E extends unknown ? Omit<E, 'atMs'> : never
+import { createUpdateLoop } from './BendfallNodeUpdateLoop.js'
+import type { WithoutTime } from './BendfallNodeUpdateLoop.js'
 
 /** An event before the runtime stamps its time. */
 export type EventInput = WithoutTime<Event>
@@ -47,39 +47,30 @@
  * @returns the runtime
  */
 export function createRuntime (reducer: Reducer, initial: State, clock: Clock): Runtime {
-  const handlers = new Map<EffectType, (effect: Effect) => void>()
+  const handled = new Set<EffectType>()
   const listeners = new Set<StepListener>()
-  const queue: Event[] = []
   let state = initial
-  let reducing = false
 
-  function applyEvent (event: Event): void {
+  function applyEvent (event: Event): readonly Effect[] {
     const step = reducer(state, event)
     state = step.state
     for (const listener of listeners) listener(event, step)
-    for (const effect of step.effects) handlers.get(effect.type)?.(effect)
-  }
-
-  function drainQueue (): void {
-    reducing = true
-    try {
-      for (let event = queue.shift(); event !== undefined; event = queue.shift()) applyEvent(event)
-    } finally {
-      reducing = false
-    }
+    return step.effects
   }
 
+  const loop = createUpdateLoop<Event, Effect>(applyEvent, clock)
   return {
     clock,
     getState: () => state,
-    dispatch: (input) => {
-      queue.push({ ...input, atMs: clock.nowMs() } as Event)
-      if (!reducing) drainQueue()
-    },
+    dispatch: loop.dispatch,
     registerEffect: (type, handler) => {
-      if (handlers.has(type)) throw new Error(`effect ${type} has a handler already`)
-      handlers.set(type, handler as (effect: Effect) => void)
-      return () => { handlers.delete(type) }
+      if (handled.has(type)) throw new Error(`effect ${type} has a handler already`)
+      handled.add(type)
+      const teardown = loop.registerEffect(type, handler)
+      return () => {
+        handled.delete(type)
+        teardown()
+      }
     },
     registerListener: (listener) => {
       listeners.add(listener)
--- a/packages/bendfall-edge/src/BendfallEdgeUpdateLoop.ts
+++ b/packages/bendfall-node/src/runtime/BendfallNodeUpdateLoop.ts
@@ -4,9 +4,11 @@
  *
  * @module
  */
-import type { Clock, Teardown } from 'bendfall-node'
+import type { Clock } from './BendfallNodeClock.js'
+import type { Teardown } from './BendfallNodeTeardown.js'
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'atMs'> : never
+/** An event before the update path stamps its time. */
+export type WithoutTime<E> = E extends unknown ? Omit<E, 'atMs'> : never
 
 /** Something with a type. */
 export interface Typed {
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
@@ -5,96 +5,11 @@
  *
  * @module
  */
-import type { ReplicaLoad, ReplicaStage } from '../BendfallRouterTypes.js'
-import type { Forecast, Occupant } from './BendfallRouterForecast.js'
+import type { ReplicaLoad } from '../BendfallRouterTypes.js'
 import { delayUntilFit, fits, roomByHorizon } from './BendfallRouterForecast.js'
-import type { OutputModel } from './BendfallRouterOutputModel.js'
-import { createOutputModel, expectOutput, learnOutput } from './BendfallRouterOutputModel.js'
-
-/** A request that the replica reports. */
-export interface ReportedRun {
-  readonly requestId: string
-  readonly tokensInMemory: number
-  readonly eventsMade: number
-}
-
-/** What the replica reports of itself. */
-export interface ReplicaReport {
-  readonly stage: ReplicaStage
-  /** Memory that is occupied and can't yield. */
-  readonly usedTokens: number
-  readonly capacityTokens: number
-  readonly queued: number
-  readonly active: number
-  readonly isSwitching: boolean
-  readonly runs: readonly ReportedRun[]
-}
-
-/** A booking that an entry asks for. */
-export interface MemoryAsk {
-  readonly bookingId: string
-  readonly requestId: string
-  readonly promptTokens: number
-  /** The caller's estimate of the answer, or the longest answer when it gave none. */
-  readonly hintTokens: number
-  readonly maxOutputTokens: number
-  /** Between the grant and the first use of the memory. */
-  readonly leadMs: number
-  readonly maxWaitMs: number
-  readonly priority: number
-  /** From the ask until an answer is on time. */
-  readonly targetMs: number
-}
-
-interface Waiting extends MemoryAsk {
-  readonly askedAtMs: number
-}
-
-interface Booking extends MemoryAsk {
-  readonly grantedAtMs: number
-  /** Set while its entry waits for the memory to be free. */
-  confirm?: { readonly askedAtMs: number, readonly untilMs: number }
-  /** When its entry was told that the memory is free. */
-  confirmedAtMs?: number
-  /** When the replica first reported the run. */
-  seenAtMs?: number
-}
-
-/** State of the ledger. */
-export interface LedgerState {
-  report?: ReplicaReport
-  isHealthy: boolean
-  readonly bookings: Map<string, Booking>
-  waiting: Waiting[]
-  /** Length of answers, learned from runs that ended. */
-  output: OutputModel
-  /** Output of one request, learned from the growth of runs. */
-  tokensPerMs: number
-  /** Number of the load as last told. */
-  loadNumber: number
-  lastRuns: ReadonlyMap<string, ReportedRun>
-  lastReportAtMs: number
-}
-
-/** Events of the ledger. */
-export type LedgerEvent = { readonly atMs: number } & (
-  /** @param askedAtMs - when the replica was asked; what it tells is not older */
-  | { readonly type: 'report_read', readonly report: ReplicaReport, readonly askedAtMs: number }
-  | { readonly type: 'report_failed' }
-  | { readonly type: 'memory_asked', readonly ask: MemoryAsk }
-  | { readonly type: 'ask_withdrawn', readonly bookingId: string }
-  | { readonly type: 'confirm_asked', readonly bookingId: string, readonly maxWaitMs: number }
-  | { readonly type: 'released', readonly bookingId: string }
-  | { readonly type: 'time_passed' }
-)
-
-/** Effects of the ledger. */
-export type LedgerEffect =
-  | { readonly type: 'answer', readonly bookingId: string, readonly isGranted: boolean, readonly retryAfterMs: number }
-  | { readonly type: 'confirmed', readonly bookingId: string, readonly isFree: boolean }
-  /** A confirmation waits for a fresh report. */
-  | { readonly type: 'read_report' }
-  | { readonly type: 'load_changed' }
+import { expectedOutput, forecastOf, forecastWithWaiting, freeTokens, toOccupant } from './BendfallRouterLedgerMemory.js'
+import type { Booking, LedgerEffect, LedgerEvent, LedgerState, MemoryAsk, ReplicaReport, ReportedRun, Waiting } from './BendfallRouterLedgerState.js'
+import { createOutputModel, learnOutput } from './BendfallRouterOutputModel.js'
 
 /** A booking whose run the replica does not report is dropped this long after its memory was due: its entry is gone. */
 const UNSEEN_MS = 1_500
@@ -111,18 +26,9 @@
 /** Growth of the other requests until a request arrives: a block for each of a dozen runs. */
 const GROWTH_TOKENS = 192
 
-/** Growth of the running answers for which room is kept: within it one of a dozen answers of three seconds ends. */
-const HEADROOM_MS = 400
-
 /** A request that would be on time by less than this counts as late: first event, network, and a prefill that takes longer than foreseen. */
 const LATE_MARGIN_MS = 100
 
-/** Share of memory that is kept free for answers longer than expected. */
-const MARGIN_SHARE = 0.03
-
-/** Output that a run without a booking is given on top of what it has. */
-const UNKNOWN_TOKENS = 300
-
 /**
  * Makes an empty ledger.
  *
@@ -267,10 +173,6 @@
   state.bookings.delete(booking.bookingId)
 }
 
-function expectedOutput (state: LedgerState, ask: MemoryAsk, madeTokens: number): number {
-  return expectOutput(state.output, ask.hintTokens, ask.maxOutputTokens, madeTokens)
-}
-
 function learnSpeed (state: LedgerState, runs: ReadonlyMap<string, ReportedRun>, nowMs: number): void {
   const elapsedMs = nowMs - state.lastReportAtMs
   for (const [requestId, run] of runs) {
@@ -281,21 +183,6 @@
   }
 }
 
-// Memory that is free already and promised to nobody. When a running answer
-// will end is too uncertain to read a prompt for the memory that it will free:
-// of 640 prompts read on such a promise 113 found the memory occupied when
-// their result lapsed, on a calm day near full load.
-function freeTokens (state: LedgerState, nowMs: number): number {
-  const { report } = state
-  if (report === undefined) return 0
-  const growth = state.lastRuns.size * state.tokensPerMs * (nowMs - state.lastReportAtMs + HEADROOM_MS)
-  let promised = 0
-  for (const { promptTokens, requestId } of state.bookings.values()) {
-    if (!state.lastRuns.has(requestId)) promised += promptTokens
-  }
-  return report.capacityTokens - report.usedTokens - promised - growth
-}
-
 // In the order in which memory was granted. Only a report that was asked for
 // after the confirmation shows what is free then.
 function confirmWaiting (state: LedgerState, reportAskedAtMs: number, nowMs: number, effects: LedgerEffect[]): void {
@@ -328,33 +215,3 @@
   }
   return tokens
 }
-
-function forecastWithWaiting (state: LedgerState, nowMs: number): Forecast {
-  const forecast = forecastOf(state, nowMs)
-  return { ...forecast, occupants: [...forecast.occupants, ...state.waiting.map((ask) => toOccupant(state, ask, nowMs))] }
-}
-
-function forecastOf (state: LedgerState, nowMs: number): Forecast {
-  const capacityTokens = Math.floor((state.report?.capacityTokens ?? 0) * (1 - MARGIN_SHARE))
-  const bookings = [...state.bookings.values()]
-  const byRequest = new Map(bookings.map((booking) => [booking.requestId, booking]))
-  const runs = [...state.lastRuns.values()].map((run) => runOccupant(state, run, byRequest.get(run.requestId)))
-  const expected = bookings
-    .filter(({ requestId }) => !state.lastRuns.has(requestId))
-    .map((booking) => toOccupant(state, booking, Math.max(nowMs - booking.leadMs, booking.grantedAtMs)))
-  return { nowMs, capacityTokens, occupants: [...runs, ...expected] }
-}
-
-function runOccupant (state: LedgerState, run: ReportedRun, booking: Booking | undefined): Occupant {
-  const endTokens = booking === undefined
-    ? run.tokensInMemory + UNKNOWN_TOKENS
-    : booking.promptTokens + expectedOutput(state, booking, run.tokensInMemory - booking.promptTokens)
-  const endMs = state.lastReportAtMs + (endTokens - run.tokensInMemory) / state.tokensPerMs
-  return { startMs: state.lastReportAtMs, endMs, startTokens: run.tokensInMemory, endTokens }
-}
-
-function toOccupant (state: LedgerState, ask: MemoryAsk, fromMs: number): Occupant {
-  const startMs = fromMs + ask.leadMs
-  const outputTokens = expectedOutput(state, ask, 0)
-  return { startMs, endMs: startMs + outputTokens / state.tokensPerMs, startTokens: ask.promptTokens, endTokens: ask.promptTokens + outputTokens }
-}
