--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
@@ -4,7 +4,7 @@
 import type { PoolMember } from '../../index.js'
 import { configOf, createWorld, loadOf, replicaOf, summaryRoute, typesOf } from './RouterWorld.js'
 
-const INTENT = { usualPrefillShare: 0.25, leastPrefillShare: 0.1, mostPrefillShare: 0.5 }
+const INTENT = { usualPrefillShare: 0.25, leastPrefillShare: 0.1, leastPrefillReplicas: 1, mostPrefillShare: 0.5 }
 
 function membersOf (prefills: number, decodes: number): PoolMember[] {
   const make = (count: number, stage: 'prefill' | 'decode'): PoolMember[] =>
@@ -42,6 +42,13 @@
   assert.equal(balancePools(membersOf(1, 9), { prefill: 0.1, decode: 9 }, INTENT), [])
 })
 
+test('the least number of prefill replicas holds, up to half of all', () => {
+  const least = { ...INTENT, leastPrefillReplicas: 3 }
+  assert.equal(balancePools(membersOf(3, 5), { prefill: 0, decode: 0 }, least), [])
+  assert.equal(balancePools(membersOf(3, 5), { prefill: 0.5, decode: 4.8 }, least), [])
+  assert.equal(balancePools(membersOf(2, 2), { prefill: 0, decode: 0 }, least), [])
+})
+
 test('an intent that was not confirmed is not in force', () => {
   assert.is(confirmedIntent({ intent: INTENT, confirmedDigest: '' }), undefined)
   assert.equal(confirmedIntent({ intent: INTENT, confirmedDigest: digestPoolIntent(INTENT) }), INTENT)
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -74,9 +74,10 @@
 }
 
 function clampPrefills (prefills: number, total: number, intent: PoolIntent): number {
-  const least = Math.max(FEWEST, Math.ceil(total * intent.leastPrefillShare))
+  const leastReplicas = Math.min(intent.leastPrefillReplicas, Math.floor(total / 2))
+  const least = Math.max(FEWEST, leastReplicas, Math.ceil(total * intent.leastPrefillShare))
   const most = Math.min(total - FEWEST, Math.floor(total * intent.mostPrefillShare))
-  return Math.max(least, Math.min(most, prefills))
+  return Math.max(least, Math.min(Math.max(least, most), prefills))
 }
 
 // From the availability zones that have most of the pool, so that each keeps some.
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolIntent.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolIntent.ts
@@ -11,6 +11,8 @@
   /** Aimed at while no work was measured. */
   readonly usualPrefillShare: number
   readonly leastPrefillShare: number
+  /** Prefill replicas at the least, whatever the share; half of all at the most. A pool of two that loses one halves. */
+  readonly leastPrefillReplicas: number
   readonly mostPrefillShare: number
 }
 
@@ -29,11 +31,12 @@
   properties: {
     intent: {
       type: 'object',
-      required: ['usualPrefillShare', 'leastPrefillShare', 'mostPrefillShare'],
+      required: ['usualPrefillShare', 'leastPrefillShare', 'leastPrefillReplicas', 'mostPrefillShare'],
       additionalProperties: false,
       properties: {
         usualPrefillShare: { type: 'number', minimum: 0, maximum: 1 },
         leastPrefillShare: { type: 'number', minimum: 0, maximum: 1 },
+        leastPrefillReplicas: { type: 'integer', minimum: 1 },
         mostPrefillShare: { type: 'number', minimum: 0, maximum: 1 }
       }
     },
--- a/packages/bendfallctl/src/__tests__/unit/BendfallctlPools.test.ts
+++ b/packages/bendfallctl/src/__tests__/unit/BendfallctlPools.test.ts
@@ -5,7 +5,7 @@
 import * as assert from 'uvu/assert'
 import { confirmPools, planPools } from '../../BendfallctlPools.js'
 
-const INTENT = { usualPrefillShare: 0.25, leastPrefillShare: 0.1, mostPrefillShare: 0.5 }
+const INTENT = { usualPrefillShare: 0.25, leastPrefillShare: 0.1, leastPrefillReplicas: 1, mostPrefillShare: 0.5 }
 
 async function writeDocument (value: unknown): Promise<string> {
   const path = join(await mkdtemp(join(tmpdir(), 'bendfall-pools-')), 'pools.json')
