Let the later of two registrations at one address count

Cause: an entry that starts reads the registrations of crashed replicas beside those of their successors, in the order of their ids, and took the last listed one. Found in the logs: replica_replaced named the older one as successor.

Change: a registration carries the revision of its creation; the later one has the address, in whatever order they are read, and the former counts again if the later is gone.

--- a/packages/bendfall-platform/src/BendfallPlatformKeyValue.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformKeyValue.ts
@@ -11,6 +11,8 @@
   readonly value: string
   /** Revision of the whole store at the last write of the key. */
   readonly revision: number
+  /** Revision of the whole store at the key's creation; absent where the service does not tell it. */
+  readonly createdRevision?: number
   /** Lease the key is bound to; empty when it lasts. */
   readonly leaseId: string
 }
--- a/packages/bendfall-router/src/BendfallRouterTypes.ts
+++ b/packages/bendfall-router/src/BendfallRouterTypes.ts
@@ -80,6 +80,8 @@
 /** A replica as it registered itself. */
 export interface Replica {
   readonly replicaId: string
+  /** Grows from one registration to the next, so that of two at one address the later is known. */
+  readonly registeredAtRevision: number
   readonly service: string
   /** `ip:port`. */
   readonly address: string
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterEntry.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterEntry.test.ts
@@ -172,11 +172,24 @@
   for (let i = 0; i < 8; i++) assert.is.not(only(world.send(arrival(`next-${i}`, '/rates/1')), 'send_run').replicaId, first.replicaId)
 })
 
-test('a replica that registers at the address of another takes its place', () => {
-  const world = createWorld([plainRoute()], [replicaOf('a1', 'plain')])
-  world.send({ type: 'replicas_changed', present: [replicaOf('a9', 'plain', { address: 'a1:80' })], gone: [] })
-  world.send({ type: 'replicas_changed', present: [replicaOf('a1', 'plain'), replicaOf('a9', 'plain', { address: 'a1:80' })], gone: [] })
-  assert.equal([...world.state.replicas.keys()], ['a9'])
+const FORMER = replicaOf('a5', 'plain', { address: 'a:80', registeredAtRevision: 3 })
+const SUCCESSORS = [replicaOf('a9', 'plain', { address: 'a:80', registeredAtRevision: 8 }), replicaOf('a1', 'plain', { address: 'a:80', registeredAtRevision: 8 })]
+for (const successor of SUCCESSORS) {
+  for (const present of [[FORMER, successor], [successor, FORMER]]) {
+    test(`of two registrations at one address the later counts: ${present.map(({ replicaId }) => replicaId).join(', ')}`, () => {
+      const world = createWorld([plainRoute()], [])
+      world.send({ type: 'replicas_changed', present, gone: [] })
+      world.send({ type: 'replicas_changed', present: [FORMER], gone: [] })
+      assert.equal([...world.state.replicas.keys()], [successor.replicaId])
+    })
+  }
+}
+
+test('a replica counts again when the later registration at its address is gone', () => {
+  const world = createWorld([plainRoute()], [])
+  world.send({ type: 'replicas_changed', present: [FORMER, ...SUCCESSORS.slice(1)], gone: [] })
+  world.send({ type: 'replicas_changed', present: [FORMER], gone: ['a1'] })
+  assert.equal([...world.state.replicas.keys()], ['a5'])
 })
 
 test('a process that stops refuses streams that it could not finish', () => {
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -3,9 +3,7 @@
  *
  * @module
  */
-import type { Replica } from '../BendfallRouterTypes.js'
 import { admit } from './BendfallRouterArrival.js'
-import { createBelief } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext, StepStarter } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
 import type { RouterEffect } from './BendfallRouterEffects.js'
@@ -15,6 +13,7 @@
 import { balance, takeOrderAnswer } from './BendfallRouterPools.js'
 import { startPrefill, takePrefillAnswer, takePrefillFailure } from './BendfallRouterPrefill.js'
 import { startConfirm, takeConfirmAnswer } from './BendfallRouterConfirm.js'
+import { forgetReplica, learnReplica } from './BendfallRouterRegistrations.js'
 import { startReserve, takeReserveAnswer } from './BendfallRouterReserve.js'
 import { startRun, takeRunAnswer, takeRunFailure } from './BendfallRouterRun.js'
 import type { RequestState, RouterState } from './BendfallRouterState.js'
@@ -72,11 +71,8 @@
   prefill_answered: (context, event) => withAttempt(context, event, (request) =>
     takePrefillAnswer(context, request, event.outcome, handleTtlMs(context.state, request))),
   replicas_changed: (context, event) => {
+    for (const replicaId of event.gone) forgetReplica(context, replicaId)
     for (const replica of event.present) learnReplica(context, replica)
-    for (const replicaId of event.gone) {
-      context.state.replicas.delete(replicaId)
-      context.state.replaced.delete(replicaId)
-    }
   },
   request_arrived: (context, event) => {
     const admitted = admit(context, event)
@@ -143,30 +139,6 @@
   context.effects.push({ type: 'log', decision: isNewer ? 'config_in_force' : 'config_ignored', requestId: '', inputs: { version: config.version, former, routes: config.routes.length } })
 }
 
-function learnReplica (context: RouterContext, replica: Replica): void {
-  if (context.state.replaced.has(replica.replicaId)) return
-  const known = context.state.replicas.get(replica.replicaId)
-  const former = known?.replica
-  dropFormerAt(context, replica)
-  if (known === undefined) context.state.replicas.set(replica.replicaId, createBelief(replica))
-  else known.replica = replica
-  if (former?.isDraining === replica.isDraining && former.stage === replica.stage) return
-  context.effects.push({ type: 'log', decision: 'replica_learned', requestId: '', inputs: { replica: replica.replicaId, service: replica.service, stage: replica.stage, isDraining: replica.isDraining } })
-}
-
-// A crashed replica's registration outlives it by some heartbeats, in which a
-// new one may come at its address; of 43 failed sends of a day with crashes 40
-// went to the registration of the former.
-function dropFormerAt ({ effects, state }: RouterContext, { address, replicaId }: Replica): void {
-  if (state.replicas.has(replicaId)) return
-  for (const { replica } of [...state.replicas.values()]) {
-    if (replica.address !== address) continue
-    state.replicas.delete(replica.replicaId)
-    state.replaced.add(replica.replicaId)
-    effects.push({ type: 'log', decision: 'replica_replaced', requestId: '', inputs: { replica: replica.replicaId, by: replicaId, address } })
-  }
-}
-
 function handleTtlMs (state: RouterState, request: RequestState): number {
   const service = state.config?.services.find((one) => one.name === request.service)
   return service?.engine?.handleTtlMs ?? FIRST_HANDLE_TTL_MS
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -105,8 +105,8 @@
 export interface RouterState {
   config?: RouterConfig
   readonly replicas: Map<string, ReplicaBelief>
-  /** Replicas whose address another one has; their registrations are left until they lapse. */
-  readonly replaced: Set<string>
+  /** Replicas whose address another one has, by id, with the id of that one. */
+  readonly replaced: Map<string, string>
   readonly requests: Map<string, RequestState>
   readonly budgets: Map<string, RetryBudget>
   /** Speed of prefill, learned from answers. */
@@ -134,7 +134,7 @@
 export function createRouterState (seed: number): RouterState {
   return {
     replicas: new Map(),
-    replaced: new Set(),
+    replaced: new Map(),
     requests: new Map(),
     budgets: new Map(),
     prefillMsPerToken: FIRST_PREFILL_MS_PER_TOKEN,
