--- a/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
+++ b/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
@@ -9,7 +9,8 @@
 import { createInterface } from 'node:readline'
 
 const PARENT_WATCH_MODULE = import.meta.resolve('./BendfallFakesParentWatch.js')
-const START_TIMEOUT_MS = 15_000
+/** Until a process listens: 1 s on an idle machine, 26 s were not enough for a dozen beside a load of 21 on 8 cores. */
+const START_TIMEOUT_MS = 40_000
 const STOP_TIMEOUT_MS = 10_000
 
 /** Signals that tests and soak send. */
