--- /dev/null
+++ b/packages/bendfallctl/src/BendfallctlExplain.ts
@@ -0,0 +1,137 @@
+/**
+ * Tells the story of one request, or lists the failed ones by cause, from the
+ * logs of several processes.
+ *
+ * @module
+ */
+import { createReadStream } from 'node:fs'
+import { createInterface } from 'node:readline'
+import type { CommandResult } from './BendfallctlExit.js'
+import { readLogLine } from './BendfallctlLogLine.js'
+import type { LogLine } from './BendfallctlLogLine.js'
+
+/** Requests whose end is awaited at most; the oldest are forgotten beyond it, so that a log of any size can be read. */
+const MOST_OPEN = 100_000
+
+/** Ids shown of each cause. */
+const SHOWN_IDS = 5
+
+/** Lines of a request that tell what went wrong before its end. */
+const TROUBLES: ReadonlySet<string> = new Set([
+  'memory_occupied', 'prefill_failed', 'prefill_slot_refused', 'prefill_slot_unreachable', 'reservation_refused', 'reservation_unreachable', 'retried', 'run_failed', 'try_timed_out'
+])
+
+/** Ends of a request without its whole answer. */
+const FAILED_ENDS: ReadonlySet<string> = new Set(['refused', 'cut', 'cancelled'])
+
+/** Requests that failed for one cause. */
+export interface FailureCause {
+  readonly cause: string
+  readonly count: number
+  /** Some of their ids. */
+  readonly requestIds: readonly string[]
+}
+
+interface ReadOutcome {
+  readonly unreadLines: number
+  /** Files that could not be read, and why. */
+  readonly unreadFiles: readonly string[]
+}
+
+/**
+ * Tells the story of one request.
+ *
+ * @param requestId - id of the request
+ * @param files - logs of entries and sidecars, in any order
+ * @returns the lines by time; `failed` when no line has the id, `findings` when a file can't be read
+ */
+export async function explainRequest (requestId: string, files: readonly string[]): Promise<CommandResult> {
+  const lines: LogLine[] = []
+  const outcome = await readFiles(files, (line) => { if (requestOf(line) === requestId) lines.push(line) })
+  // A stable sort: lines of one instance stay in the order in which it wrote them.
+  lines.sort((a, b) => a.timeMs - b.timeMs)
+  const firstMs = lines[0]?.timeMs ?? 0
+  const story = lines.map((line) => describe(line, firstMs))
+  const text = [...(lines.length === 0 ? [`no line has the request ${requestId}`] : story), ...remarks(outcome)].join('\n')
+  const json = { requestId, lines: lines.map(({ fields, ...line }) => ({ ...line, fields: Object.fromEntries(fields) })), ...outcome }
+  return { exit: exitOf(outcome, lines.length > 0), text, json }
+}
+
+/**
+ * Lists the requests that failed, by cause.
+ *
+ * @param files - logs of entries, in any order
+ * @returns causes, the most frequent first
+ */
+export async function explainFailures (files: readonly string[]): Promise<CommandResult> {
+  const troubles = new Map<string, string>()
+  const causes = new Map<string, string[]>()
+  const outcome = await readFiles(files, (line) => noteLine(line, troubles, causes))
+  const rows = [...causes].map(([cause, ids]): FailureCause => ({ cause, count: ids.length, requestIds: ids.slice(0, SHOWN_IDS) })).sort((a, b) => b.count - a.count)
+  const text = rows.map(({ cause, count, requestIds }) => `${String(count).padStart(6)}  ${cause}  ${requestIds.join(' ')}`)
+  return { exit: exitOf(outcome, true), text: [...(rows.length === 0 ? ['no failed request'] : text), ...remarks(outcome)].join('\n'), json: { causes: rows, ...outcome } }
+}
+
+function noteLine (line: LogLine, troubles: Map<string, string>, causes: Map<string, string[]>): void {
+  const requestId = requestOf(line)
+  if (requestId === undefined) return
+  if (TROUBLES.has(line.event)) {
+    troubles.set(requestId, describeTrouble(line))
+    if (troubles.size > MOST_OPEN) troubles.delete(troubles.keys().next().value as string)
+    return
+  }
+  if (FAILED_ENDS.has(line.event)) {
+    const cause = describeEnd(line, troubles.get(requestId))
+    const ids = causes.get(cause) ?? []
+    ids.push(requestId)
+    causes.set(cause, ids)
+  }
+  if (FAILED_ENDS.has(line.event) || line.event === 'answered') troubles.delete(requestId)
+}
+
+function describeTrouble ({ event, fields }: LogLine): string {
+  return [event, fields.get('failure') ?? fields.get('cause') ?? fields.get('phase')].filter((part) => part !== undefined).join(' ')
+}
+
+function describeEnd ({ event, fields }: LogLine, trouble: string | undefined): string {
+  const words = [event, fields.get('status'), fields.get('reason'), fields.has('phase') ? `in ${fields.get('phase')}` : undefined]
+  return [...words, trouble === undefined ? undefined : `after ${trouble}`].filter((part) => part !== undefined).join(' ')
+}
+
+// Sidecars know a request by its bookings, whose names are its id and a number.
+function requestOf ({ fields }: LogLine): string | undefined {
+  const booking = fields.get('booking')
+  return fields.get('request') ?? (booking === undefined ? undefined : booking.slice(0, booking.lastIndexOf('/')))
+}
+
+function describe ({ event, fields, instance, timeMs }: LogLine, firstMs: number): string {
+  const pairs = [...fields].filter(([key]) => key !== 'request').map(([key, value]) => `${key}=${value}`)
+  return `${String(timeMs - firstMs).padStart(7)} ms  ${instance}  ${event}  ${pairs.join(' ')}`.trimEnd()
+}
+
+async function readFiles (files: readonly string[], take: (line: LogLine) => void): Promise<ReadOutcome> {
+  const unreadFiles: string[] = []
+  let unreadLines = 0
+  for (const file of files) {
+    try {
+      for await (const text of createInterface({ input: createReadStream(file), crlfDelay: Infinity })) {
+        const line = readLogLine(text)
+        if (line !== undefined) take(line)
+        else if (text.trim() !== '') unreadLines += 1
+      }
+    } catch (error) {
+      unreadFiles.push(`${file}: ${error instanceof Error ? error.message : String(error)}`)
+    }
+  }
+  return { unreadFiles, unreadLines }
+}
+
+function remarks ({ unreadFiles, unreadLines }: ReadOutcome): string[] {
+  const lines = unreadLines === 0 ? [] : [`${unreadLines} lines are none of bendfall's, or were cut`]
+  return [...lines, ...unreadFiles.map((file) => `not read: ${file}`)]
+}
+
+function exitOf ({ unreadFiles }: ReadOutcome, isFound: boolean): CommandResult['exit'] {
+  if (unreadFiles.length > 0) return 'findings'
+  return isFound ? 'done' : 'failed'
+}
--- a/packages/bendfallctl/src/BendfallctlMain.ts
+++ b/packages/bendfallctl/src/BendfallctlMain.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { defineCommand, runMain } from 'citty'
+import { explainCommand } from './BendfallctlExplainCommand.js'
 import { confirmCommand, planCommand } from './BendfallctlPlanCommands.js'
 import { poolsConfirmCommand, poolsPlanCommand } from './BendfallctlPoolsCommands.js'
 import { checkCommand, drainCommand, statusCommand, timelineCommand } from './BendfallctlProcessCommands.js'
@@ -15,6 +16,7 @@
     check: checkCommand,
     confirm: confirmCommand,
     drain: drainCommand,
+    explain: explainCommand,
     plan: planCommand,
     'pools-confirm': poolsConfirmCommand,
     'pools-plan': poolsPlanCommand,
--- a/packages/bendfallctl/src/index.ts
+++ b/packages/bendfallctl/src/index.ts
@@ -10,6 +10,8 @@
 export { describeConfirm } from './BendfallctlConfirmText.js'
 export { EXIT_CODES } from './BendfallctlExit.js'
 export type { CommandResult, ExitName } from './BendfallctlExit.js'
+export { explainFailures, explainRequest } from './BendfallctlExplain.js'
+export type { FailureCause } from './BendfallctlExplain.js'
 export { readIntent } from './BendfallctlIntentFile.js'
 export { INTENT_SCHEMA } from './BendfallctlIntentSchema.js'
 export { makePlan, readStoredConfig, runPlan } from './BendfallctlPlan.js'
