--- /dev/null
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPrefillQueue.test.ts
@@ -0,0 +1,30 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { arrival, loadOf, modelWorld, only } from './RouterWorld.js'
+
+test('a request waits at a busy prefill replica before it books memory', () => {
+  const world = modelWorld()
+  world.send({ type: 'load_learned', load: { ...loadOf('p1', 'prefill', 0), backlogTokens: 9_000 } })
+  const queue = only(world.send(arrival('1')), 'queue_prefill')
+  assert.is(queue.replicaId, 'p1')
+  const reserve = only(world.send({ type: 'prefill_queue_answered', key: '1', attempt: queue.attempt, outcome: { type: 'granted' } }), 'reserve')
+  const announce = only(world.send({ type: 'reserve_answered', key: '1', attempt: reserve.attempt, outcome: { type: 'granted' } }), 'announce_prefill')
+  assert.is(announce.bookingId, queue.bookingId)
+})
+
+test('a request for which no prefill replica has time is refused with the wait', () => {
+  const world = modelWorld()
+  world.send({ type: 'load_learned', load: { ...loadOf('p1', 'prefill', 0), backlogTokens: 9_000 } })
+  const queue = only(world.send(arrival('1')), 'queue_prefill')
+  const refuse = only(world.send({ type: 'prefill_queue_answered', key: '1', attempt: queue.attempt, outcome: { type: 'refused', retryAfterMs: 2_000 } }), 'refuse')
+  assert.equal([refuse.status, refuse.reason, refuse.retryAfterMs], [503, 'prefill_busy', 2_000])
+})
+
+test('a caller that leaves gives up its place at a prefill replica', () => {
+  const world = modelWorld()
+  world.send({ type: 'load_learned', load: { ...loadOf('p1', 'prefill', 0), backlogTokens: 9_000 } })
+  const queue = only(world.send(arrival('1')), 'queue_prefill')
+  assert.is(only(world.send({ type: 'caller_left', key: '1' }), 'release').bookingId, queue.bookingId)
+})
+
+test.run()
--- a/packages/bendfall-router/src/__tests__/unit/RouterWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/RouterWorld.ts
@@ -72,6 +72,16 @@
   return { state, send, wait: (ms) => { nowMs += ms } }
 }
 
+const MODELS = [replicaOf('p1', 'prefill'), replicaOf('d1', 'decode'), replicaOf('d2', 'decode')]
+
+/** An entry before one prefill and two decode replicas, the first with more room. */
+export function modelWorld (change: Parameters<typeof summaryRoute>[0] = {}): RouterWorld {
+  const world = createWorld([summaryRoute(change)], MODELS)
+  world.send({ type: 'load_learned', load: loadOf('d1', 'decode', 30_000) })
+  world.send({ type: 'load_learned', load: loadOf('d2', 'decode', 10_000) })
+  return world
+}
+
 /** A request of a summary, or of another path. */
 export function arrival (key: string, path = '/summaries/1'): WithoutTime<RouterEvent> {
   const prompt = path.startsWith('/summaries/') ? { promptTokens: 3_000, maxOutputTokens: 2_000, outputHintTokens: 800 } : undefined
