Soak the programs for the users' platform as processes under seeded faults

npm run soak:fleet starts two entries and three sidecars as processes before stand-ins that they reach through loopback proxies, and harms them from outside: kill, pause, stop and restart by signals; connections delayed, silenced, cut one way or reset; a store that fails or forgets its history; replicas that refuse, break off, garble or answer another request. Two series of faults overlap. It checks what callers and replicas see: whole own answers, pieces in order, at most one run where one is allowed, refusals that did not run, service again after the last fault, nothing held for callers that are gone.

--- a/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
+++ b/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
@@ -16,6 +16,12 @@
 /** Signals that tests and soak send. */
 export type ProcessSignal = 'SIGCONT' | 'SIGKILL' | 'SIGSTOP' | 'SIGTERM'
 
+/** How a process is started. */
+export interface ProcessOptions {
+  readonly env?: Readonly<Record<string, string>>
+  readonly readyEvent?: string
+}
+
 /** A process that listens. */
 export interface ListeningProcess {
   readonly name: string
@@ -43,11 +49,13 @@
  * @param name - name of the process, for messages
  * @param modulePath - path of the compiled module
  * @param args - arguments of the module
- * @returns the process once it wrote its line `event=listening`
+ * @param options - variables beside those of this process, and the event that tells that it listens
+ * @returns the process once it wrote that line
  * @throws Error when it ends or stays silent instead
  */
-export async function startProcess (name: string, modulePath: string, args: readonly string[]): Promise<ListeningProcess> {
-  const child = spawn(process.execPath, ['--enable-source-maps', '--import', PARENT_WATCH_MODULE, modulePath, ...args], { stdio: ['pipe', 'pipe', 'pipe'] })
+export async function startProcess (name: string, modulePath: string, args: readonly string[], options: ProcessOptions = {}): Promise<ListeningProcess> {
+  const { env = {}, readyEvent = 'listening' } = options
+  const child = spawn(process.execPath, ['--enable-source-maps', '--import', PARENT_WATCH_MODULE, modulePath, ...args], { stdio: ['pipe', 'pipe', 'pipe'], env: { ...process.env, ...env } })
   const lines: string[] = []
   const exited = once(child, 'close').then(([code]) => code as number | null)
   createInterface({ input: child.stderr }).on('line', (line) => lines.push(line))
@@ -55,7 +63,7 @@
     createInterface({ input: child.stdout }).on('line', (line) => {
       lines.push(line)
       const pairs = readPairs(line)
-      if (pairs.event === 'listening') resolve(pairs)
+      if (pairs.event === readyEvent) resolve(pairs)
     })
   })
   try {
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -30,6 +30,8 @@
   readonly path: string
   readonly body: string
   isAborted: boolean
+  /** Whether the replica said that it did not run the request. */
+  isRefused: boolean
 }
 
 /** The stand-in. */
@@ -40,6 +42,8 @@
   /** Forgets faults that no request met. */
   readonly heal: () => void
   readonly stage: () => string | undefined
+  /** Requests that run now. */
+  readonly running: () => number
 }
 
 const PREFILL_TOKENS_PER_MS = 100
@@ -83,7 +87,7 @@
   }
 
   function note (request: IncomingMessage, body: Buffer, response: ServerResponse, kind: SeenRequest['kind']): SeenRequest {
-    const one: SeenRequest = { requestId: String(request.headers['x-request-id']), kind, headers: request.headers, path: request.url ?? '', body: body.toString(), isAborted: false }
+    const one: SeenRequest = { requestId: String(request.headers['x-request-id']), kind, headers: request.headers, path: request.url ?? '', body: body.toString(), isAborted: false, isRefused: false }
     seen.push(one)
     response.once('close', () => { one.isAborted = !response.writableFinished })
     return one
@@ -103,7 +107,10 @@
   function run (request: IncomingMessage, body: Buffer, response: ServerResponse): void {
     const one = note(request, body, response, 'run')
     const fault = faults.shift()
-    if (fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) return refuse(response)
+    if (fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) {
+      one.isRefused = true
+      return refuse(response)
+    }
     if (fault === 'reset' || fault === 'garbled') {
       breakOff(request, fault)
       return
@@ -149,7 +156,7 @@
     if (wantsPrefill) prefill(request, body, response)
     else run(request, body, response)
   })
-  return { ...server, seen, stage: () => stage, failNext: (fault) => { faults.push(fault) }, heal: () => { faults.length = 0 } }
+  return { ...server, seen, stage: () => stage, running: () => runs.size, failNext: (fault) => { faults.push(fault) }, heal: () => { faults.length = 0 } }
 }
 
 function breakOff ({ socket }: IncomingMessage, fault: 'reset' | 'garbled'): void {
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetCaller.ts
@@ -0,0 +1,73 @@
+/**
+ * A caller of the soak and its verdict on each answer.
+ *
+ * @module
+ */
+import { Agent, request as httpRequest } from 'node:http'
+import type { IncomingMessage } from 'node:http'
+
+/** Kind of call, which is also the prefix of its path. */
+export type CallKind = 'booking' | 'brief' | 'rate' | 'summary'
+
+/** What became of a call. */
+export interface CallRecord {
+  readonly requestId: string
+  readonly kind: CallKind
+  readonly startedAtMs: number
+  status: number
+  isWhole: boolean
+  body: string
+}
+
+const CALL_TIMEOUT_MS = 8_000
+const TOKENS = '1500,200'
+const KINDS_WITH_PROMPT: ReadonlySet<CallKind> = new Set(['brief', 'summary'])
+
+/** Connections stay open between calls, until the process is gone. */
+const agent = new Agent({ keepAlive: true })
+
+/**
+ * Makes one call.
+ *
+ * @param address - `ip:port` of an entry
+ * @param host - host of the routes
+ * @param kind - kind of call
+ * @param requestId - its id
+ * @returns what became of it
+ */
+export function call (address: string, host: string, kind: CallKind, requestId: string): Promise<CallRecord> {
+  const record: CallRecord = { requestId, kind, startedAtMs: performance.now(), status: 0, isWhole: false, body: '' }
+  const [ip = '', port = ''] = address.split(':')
+  const headers = { host, 'x-request-id': requestId, 'x-deadline-ms': '5000', ...(KINDS_WITH_PROMPT.has(kind) ? { 'x-token-counts': TOKENS } : {}) }
+  return new Promise((resolve) => {
+    const finish = (): void => resolve(record)
+    const request = httpRequest({ host: ip, port: Number(port), path: `/${kind}/1`, method: kind === 'rate' ? 'GET' : 'POST', agent, headers, timeout: CALL_TIMEOUT_MS }, (response) => read(response, record, finish))
+    request.on('timeout', () => request.destroy())
+    request.on('error', finish)
+    request.end()
+  })
+}
+
+function read (response: IncomingMessage, record: CallRecord, finish: () => void): void {
+  record.status = response.statusCode ?? 0
+  response.setEncoding('utf8')
+  response.on('data', (chunk: string) => { record.body += chunk })
+  response.on('end', () => { record.isWhole = response.complete })
+  response.on('error', finish)
+  response.on('close', finish)
+}
+
+/**
+ * Finds what is wrong with an answer as its caller sees it.
+ *
+ * @param record - the call
+ * @param events - events of a whole stream
+ * @returns what is wrong; undefined when nothing is
+ */
+export function findWrongAnswer ({ body, isWhole, kind, requestId, status }: CallRecord, events: number): string | undefined {
+  if (status !== 200) return undefined
+  if (!KINDS_WITH_PROMPT.has(kind)) return isWhole && body !== `answer to ${requestId}` ? `${requestId}: an answer that is not its own: ${body}` : undefined
+  const ids = [...body.matchAll(/^id: (\d+)\n/gm)].map((match) => Number(match[1]))
+  if (ids.some((id, index) => id !== index + 1)) return `${requestId}: pieces missing, doubled or joined: ${ids.join(' ')}`
+  return isWhole && ids.length !== events ? `${requestId}: ends as complete after ${ids.length} of ${events} pieces` : undefined
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetProxy.ts
@@ -0,0 +1,71 @@
+/**
+ * Loopback proxy that harms the connections that pass through it.
+ *
+ * @module
+ */
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+
+/** How connections are harmed: `silent` passes nothing and closes nothing, `one_way` passes only towards the server. */
+export type ProxyFault = 'delayed' | 'one_way' | 'silent'
+
+/** A proxy that listens. */
+export interface FleetProxy {
+  /** `ip:port`. */
+  readonly address: string
+  /** Harms what passes from now on, until called with undefined. */
+  readonly harm: (fault: ProxyFault | undefined) => void
+  /** Resets all open connections. */
+  readonly reset: () => void
+  readonly close: () => Promise<void>
+}
+
+const DELAY_MS = 120
+
+/**
+ * Starts a proxy.
+ *
+ * @param target - `ip:port` behind it
+ * @returns the proxy, on the target's loopback address, once it listens
+ */
+export async function startFleetProxy (target: string): Promise<FleetProxy> {
+  const [host = '', port = ''] = target.split(':')
+  const sockets = new Set<Socket>()
+  let fault: ProxyFault | undefined
+
+  function pass (from: Socket, to: Socket, isAnswer: boolean): void {
+    from.on('data', (chunk) => {
+      if (fault === 'silent' || (fault === 'one_way' && isAnswer)) return
+      if (fault !== 'delayed') {
+        to.write(chunk)
+        return
+      }
+      setTimeout(() => to.write(chunk), DELAY_MS)
+    })
+    // Bytes that are delayed go before the end.
+    from.on('end', () => setTimeout(() => to.end(), DELAY_MS))
+    from.on('error', () => to.destroy())
+    from.on('close', () => {
+      sockets.delete(from)
+      setTimeout(() => to.destroy(), DELAY_MS)
+    })
+  }
+
+  const server = createServer({ allowHalfOpen: true }, (caller) => {
+    const upstream = connect({ host, port: Number(port), allowHalfOpen: true })
+    for (const socket of [caller, upstream]) sockets.add(socket)
+    pass(caller, upstream, false)
+    pass(upstream, caller, true)
+  })
+  await new Promise<void>((resolve) => server.listen(0, host, resolve))
+  const reset = (): void => { for (const socket of sockets) socket.resetAndDestroy() }
+  return {
+    address: `${host}:${(server.address() as AddressInfo).port}`,
+    harm: (wanted) => { fault = wanted },
+    reset,
+    close: () => new Promise((resolve) => {
+      server.close(() => resolve())
+      reset()
+    })
+  }
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -0,0 +1,135 @@
+/**
+ * Soak of the programs for the users' platform: processes under seeded faults
+ * that come in series and overlap, and every answer judged.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { createDraw } from '../../BendfallFakesClusterFaults.js'
+import type { Draw } from '../../BendfallFakesClusterFaults.js'
+import { call, findWrongAnswer } from './BendfallFakesFleetCaller.js'
+import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
+import { inflict } from './BendfallFakesSoakFaults.js'
+import { SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
+import type { SoakFleet } from './BendfallFakesSoakFleet.js'
+
+/** Result of a soak. */
+export interface SoakResult {
+  readonly calls: number
+  readonly answered: number
+  readonly refused: number
+  readonly faults: readonly string[]
+  readonly violations: readonly string[]
+}
+
+const KINDS: readonly CallKind[] = ['booking', 'brief', 'rate', 'summary']
+const CALLERS = 8
+const CALL_PAUSE_MS = 30
+const FAULT_SERIES = 2
+const REST_MS = [100, 400, 1_000] as const
+const RECOVERY_MS = 6_000
+const FREE_MS = 3_000
+const PROOF_CALLS = 12
+
+/** Statuses that promise that a request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+/** Kinds that run once at most. */
+const ONCE: ReadonlySet<CallKind> = new Set(['booking', 'summary'])
+
+/**
+ * Runs a soak.
+ *
+ * @param seed - of faults and callers
+ * @param seconds - time under faults
+ * @returns what was seen
+ */
+export async function soakFleet (seed: number, seconds: number): Promise<SoakResult> {
+  const fleet = await startSoakFleet(40 + seed % 200)
+  const records: CallRecord[] = []
+  const faults: string[] = []
+  try {
+    await untilServed(fleet, seed)
+    const endsAtMs = performance.now() + seconds * 1_000
+    const isOver = (): boolean => performance.now() >= endsAtMs
+    await Promise.all([
+      ...Array.from({ length: CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
+      ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), faults, isOver))
+    ])
+    const violations = [...findViolations(fleet, records), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
+    const answered = records.filter(({ isWhole, status }) => status === 200 && isWhole).length
+    const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
+    return { calls: records.length, answered, refused, faults, violations }
+  } finally {
+    await fleet.close()
+  }
+}
+
+async function callOn (fleet: SoakFleet, name: string, draw: Draw, records: CallRecord[], isOver: () => boolean): Promise<void> {
+  for (let i = 0; !isOver(); i++) {
+    records.push(await call(draw(fleet.entries), SOAK_HOST, draw(KINDS), `${name}-${i}`))
+    await sleep(CALL_PAUSE_MS)
+  }
+}
+
+async function harmOn (fleet: SoakFleet, draw: Draw, faults: string[], isOver: () => boolean): Promise<void> {
+  while (!isOver()) {
+    faults.push(await inflict(fleet, draw))
+    await sleep(draw(REST_MS))
+  }
+}
+
+function findViolations (fleet: SoakFleet, records: readonly CallRecord[]): string[] {
+  const runs = countRuns(fleet)
+  return records.flatMap((record) => {
+    const { kind, requestId, status } = record
+    const ran = runs.get(requestId) ?? 0
+    const found = [findWrongAnswer(record, SOAK_EVENTS)]
+    if (ONCE.has(kind) && ran > 1) found.push(`${requestId}: ${kind} ran ${ran} times`)
+    if (NOT_RUN_STATUSES.has(status) && ONCE.has(kind) && ran > 0) found.push(`${requestId}: ${kind} refused with ${status} and ran`)
+    return found.filter((one) => one !== undefined)
+  })
+}
+
+function countRuns ({ models, plain }: SoakFleet): ReadonlyMap<string, number> {
+  const runs = new Map<string, number>()
+  for (const { replica } of [...models, ...plain]) {
+    for (const { isRefused, kind, requestId } of replica.seen) {
+      if (kind === 'run' && !isRefused) runs.set(requestId, (runs.get(requestId) ?? 0) + 1)
+    }
+  }
+  return runs
+}
+
+async function isServed (fleet: SoakFleet, entry: string, kind: CallKind, requestId: string): Promise<boolean> {
+  const { isWhole, status } = await call(entry, SOAK_HOST, kind, requestId)
+  return status === 200 && isWhole
+}
+
+async function untilServed (fleet: SoakFleet, seed: number): Promise<void> {
+  for (const entry of fleet.entries) {
+    for (let i = 0; !await isServed(fleet, entry, 'summary', `first-${seed}-${entry}-${i}`); i++) {
+      if (i === 100) throw new Error(`${entry} serves nothing at the start`)
+      await sleep(50)
+    }
+  }
+}
+
+// After the faults every kind is served again at every entry.
+async function findUnrecovered (fleet: SoakFleet, seed: number): Promise<string[]> {
+  for (const { replica } of [...fleet.models, ...fleet.plain]) replica.heal()
+  await sleep(RECOVERY_MS)
+  const unserved: string[] = []
+  for (let i = 0; i < PROOF_CALLS; i++) {
+    const entry = fleet.entries[i % fleet.entries.length] as string
+    const kind = KINDS[i % KINDS.length] as CallKind
+    if (!await isServed(fleet, entry, kind, `last-${seed}-${i}`)) unserved.push(`${kind} at ${entry} is not served ${RECOVERY_MS} ms after the last fault`)
+  }
+  return unserved
+}
+
+// No replica works for a caller that is gone.
+async function findHeld ({ models }: SoakFleet): Promise<string[]> {
+  await sleep(FREE_MS)
+  return models.filter(({ replica }) => replica.running() > 0).map(({ replica }) => `${replica.address} still runs ${replica.running()} requests`)
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
@@ -0,0 +1,22 @@
+/**
+ * Command line of the soak: `npm run soak:fleet -- --seeds 1-50 --seconds 8`.
+ *
+ * @module
+ */
+import { parseArgs } from 'node:util'
+import { soakFleet } from './BendfallFakesFleetSoak.js'
+
+const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1-5' }, seconds: { type: 'string', default: '8' } } })
+const [first = 1, last = first] = values.seeds.split('-').map(Number)
+
+let failed = 0
+for (let seed = first; seed <= last; seed++) {
+  const { answered, calls, faults, refused, violations } = await soakFleet(seed, Number(values.seconds))
+  console.log(`seed ${seed}: ${calls} calls, ${answered} answered, ${refused} refused as not run, ${faults.length} faults, ${violations.length} violations`)
+  for (const violation of violations) console.log(`  ${violation}`)
+  if (violations.length === 0) continue
+  failed += 1
+  console.log(`  faults: ${faults.join('; ')}`)
+}
+console.log(`${last - first + 1 - failed} passed, ${failed} failed`)
+process.exitCode = failed === 0 ? 0 : 1
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -0,0 +1,135 @@
+/**
+ * The fleet of the soak: bendfall's programs as processes, before stand-ins of
+ * the users' platform that are reached through proxies.
+ *
+ * @module
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { EdgeSettings } from 'bendfall-edge'
+import { startProcess } from '../../BendfallFakesDemoProcess.js'
+import type { ListeningProcess } from '../../BendfallFakesDemoProcess.js'
+import type { FleetReplica } from '../BendfallFakesFleetReplica.js'
+import { startFleetReplica } from '../BendfallFakesFleetReplica.js'
+import type { FleetStore } from '../BendfallFakesFleetStore.js'
+import { startFleetStore } from '../BendfallFakesFleetStore.js'
+import type { FleetProxy } from './BendfallFakesFleetProxy.js'
+import { startFleetProxy } from './BendfallFakesFleetProxy.js'
+
+/** Host of the routes. */
+export const SOAK_HOST = 'soak.example'
+
+/** Events of a stream: about half a second. */
+export const SOAK_EVENTS = 24
+
+const EVENT_MS = 20
+const PEER_PORT = 17_380
+const CALLERS_PORT = 17_391
+const READY_PORT = 17_392
+const MAIN_MODULE = fileURLToPath(new URL('./BendfallPlatformMain.js', import.meta.resolve('bendfall')))
+
+/** A process of bendfall that is started again when it ends. */
+export interface SoakNode {
+  readonly name: string
+  process: ListeningProcess
+  /** Whether a fault ends it now. */
+  isEnding: boolean
+  readonly restart: () => Promise<void>
+}
+
+/** A replica behind its proxy. */
+export interface SoakReplica {
+  readonly replica: FleetReplica
+  readonly proxy: FleetProxy
+}
+
+/** The fleet. */
+export interface SoakFleet {
+  readonly store: FleetStore
+  readonly storeProxy: FleetProxy
+  readonly models: readonly SoakReplica[]
+  readonly plain: readonly SoakReplica[]
+  readonly nodes: readonly SoakNode[]
+  /** `ip:port` of each entry for callers. */
+  readonly entries: readonly string[]
+  readonly close: () => Promise<void>
+}
+
+const ROUTE = { host: SOAK_HOST, 'timeout-ms': 5_000, 'target-latency-ms': 900, priority: 1 }
+const PLAIN_ROUTE = { ...ROUTE, 'timeout-ms': 1_200, 'target-latency-ms': 150, priority: 2, service: 'app' }
+const PROMPT_ROUTE = { ...ROUTE, kind: 'streaming', service: 'llm', sticky: true, 'target-gap-ms': 300 }
+
+const CONFIG = {
+  version: 1,
+  routes: [
+    { ...PROMPT_ROUTE, name: 'summary', 'path-prefix': '/summary/', 'max-attempts': 1, resumable: false },
+    { ...PROMPT_ROUTE, name: 'brief', 'path-prefix': '/brief/', 'max-attempts': 2, resumable: true },
+    { ...PLAIN_ROUTE, name: 'rate', 'path-prefix': '/rate/', kind: 'idempotent', 'max-attempts': 2 },
+    { ...PLAIN_ROUTE, name: 'booking', 'path-prefix': '/booking/', kind: 'non_idempotent', 'max-attempts': 1 }
+  ],
+  services: [{ name: 'llm', 'max-connections': 370, engine: { slots: 64, 'kv-tokens': 20_000, 'handle-ttl-s': 0.5, 'switch-s': 1 } }, { name: 'app', 'max-connections': 110 }],
+  limits: { 'max-header-bytes': 4_096, 'max-body-bytes': 100_000, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
+}
+
+/**
+ * Starts the fleet: two entries, a prefill and two decode replicas with their
+ * sidecars, and two plain replicas.
+ *
+ * @param subnet - third number of its loopback addresses, so that fleets may run side by side
+ * @returns the fleet once all of it listens
+ */
+export async function startSoakFleet (subnet: number): Promise<SoakFleet> {
+  const ip = (last: number): string => `127.0.${subnet}.${last}`
+  const folder = mkdtempSync(join(tmpdir(), 'bendfall-soak-'))
+  const store = await startFleetStore(ip(1))
+  const storeProxy = await startFleetProxy(store.address)
+  const models: SoakReplica[] = []
+  for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(ip(11 + index), `m${index}`, stage))
+  const plain = [await startReplica(ip(21), 'a0'), await startReplica(ip(22), 'a1')]
+  models.forEach((one, index) => register(store, `m${index}`, one))
+  plain.forEach((one, index) => register(store, `a${index}`, one))
+  store.put('op/config', CONFIG)
+  const shared = { availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4 }
+  const entryIps = [ip(2), ip(3)]
+  const nodes = [
+    ...await Promise.all(models.map(({ replica }, index) => startNode(folder, 'sidecar', { ...shared, instanceId: `sidecar-${index}`, ip: hostOf(replica.address), replicaAddress: replica.address }))),
+    ...await Promise.all(entryIps.map((own, index) => startNode(folder, 'entry', { ...shared, instanceId: `entry-${index}`, ip: own, callersListen: `${own}:${CALLERS_PORT}`, readyListen: `${own}:${READY_PORT}` })))
+  ]
+  return {
+    store,
+    storeProxy,
+    models,
+    plain,
+    nodes,
+    entries: entryIps.map((own) => `${own}:${CALLERS_PORT}`),
+    close: async () => {
+      for (const { process } of nodes) process.signal('SIGKILL')
+      await Promise.all(nodes.map(({ process }) => process.exited))
+      for (const { proxy, replica } of [...models, ...plain]) await Promise.all([proxy.close(), replica.close()])
+      await Promise.all([storeProxy.close(), store.close()])
+      rmSync(folder, { recursive: true })
+    }
+  }
+}
+
+async function startReplica (host: string, replicaId: string, stage?: 'prefill' | 'decode'): Promise<SoakReplica> {
+  const replica = await startFleetReplica({ host, replicaId, stage, events: SOAK_EVENTS, eventMs: EVENT_MS })
+  return { replica, proxy: await startFleetProxy(replica.address) }
+}
+
+function register (store: FleetStore, replicaId: string, { proxy, replica }: SoakReplica): void {
+  const service = replica.stage() === undefined ? 'app' : 'llm'
+  store.put(`servers/${replicaId}`, { service, address: proxy.address, zone: 'a', version: 'v1', slots: 6, state: 'ready', 'cold-remaining-ms': 0, stage: replica.stage(), seq: 1 })
+}
+
+async function startNode (folder: string, role: 'entry' | 'sidecar', settings: EdgeSettings): Promise<SoakNode> {
+  const file = join(folder, `${settings.instanceId}.json`)
+  writeFileSync(file, JSON.stringify(settings))
+  const start = (): Promise<ListeningProcess> => startProcess(settings.instanceId, MAIN_MODULE, [role], { env: { BENDFALL_BOOT: file }, readyEvent: 'started' })
+  const node: SoakNode = { name: settings.instanceId, process: await start(), isEnding: false, restart: async () => { node.process = await start() } }
+  return node
+}
+
+const hostOf = (address: string): string => address.slice(0, address.lastIndexOf(':'))
