Keep the order of delayed bytes, and silence connections that lost some, in the soak's proxy

The proxy passed what came after a delay had ended before what it still held back, which no network does to a connection; and it passed on what followed bytes that it had dropped.

Change: chunks behind delayed ones wait as long; a connection that lost bytes stays silent.

--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetProxy.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetProxy.ts
@@ -34,13 +34,22 @@
   let fault: ProxyFault | undefined
 
   function pass (from: Socket, to: Socket, isAnswer: boolean): void {
+    let isLost = false
+    let delayedChunks = 0
     from.on('data', (chunk) => {
-      if (fault === 'silent' || (fault === 'one_way' && isAnswer)) return
-      if (fault !== 'delayed') {
+      // What follows bytes that were lost must not arrive either: the connection stays silent.
+      isLost ||= fault === 'silent' || (fault === 'one_way' && isAnswer)
+      if (isLost) return
+      if (fault !== 'delayed' && delayedChunks === 0) {
         to.write(chunk)
         return
       }
-      setTimeout(() => to.write(chunk), DELAY_MS)
+      // A chunk behind delayed ones waits as long, so that the order is kept.
+      delayedChunks += 1
+      setTimeout(() => {
+        delayedChunks -= 1
+        to.write(chunk)
+      }, DELAY_MS)
     })
     // Bytes that are delayed go before the end.
     from.on('end', () => setTimeout(() => to.end(), DELAY_MS))
