--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -45,7 +45,7 @@
  * @returns what was seen
  */
 export async function soakFleet (seed: number, seconds: number): Promise<SoakResult> {
-  const fleet = await startSoakFleet(40 + seed % 200)
+  const fleet = await startSoakFleet()
   const records: CallRecord[] = []
   const faults: string[] = []
   try {
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -25,6 +25,7 @@
 export const SOAK_EVENTS = 24
 
 const EVENT_MS = 20
+const SUBNETS = 250
 const PEER_PORT = 17_380
 const CALLERS_PORT = 17_391
 const READY_PORT = 17_392
@@ -77,11 +78,9 @@
  * Starts the fleet: two entries, a prefill and two decode replicas with their
  * sidecars, and two plain replicas.
  *
- * @param subnet - third number of its loopback addresses, so that fleets may run side by side
  * @returns the fleet once all of it listens
  */
-export async function startSoakFleet (subnet: number): Promise<SoakFleet> {
-  const ip = (last: number): string => `127.0.${subnet}.${last}`
+export async function startSoakFleet (): Promise<SoakFleet> {
   const folder = mkdtempSync(join(tmpdir(), 'bendfall-soak-'))
   const store = await startFleetStore(ip(1))
   const storeProxy = await startFleetProxy(store.address)
@@ -114,6 +113,12 @@
   }
 }
 
+// Loopback addresses of this process alone, so that soaks may run side by side.
+function ip (last: number): string {
+  const subnet = process.pid
+  return `127.${1 + subnet % SUBNETS}.${Math.floor(subnet / SUBNETS) % SUBNETS}.${last}`
+}
+
 async function startReplica (host: string, replicaId: string, stage?: 'prefill' | 'decode'): Promise<SoakReplica> {
   const replica = await startFleetReplica({ host, replicaId, stage, events: SOAK_EVENTS, eventMs: EVENT_MS })
   return { replica, proxy: await startFleetProxy(replica.address) }
