--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
@@ -17,6 +17,10 @@
   assert.equal(changes.map(({ stage }) => stage), ['decode'])
 })
 
+test('the usual share is rounded down, so that decode memory is not short', () => {
+  assert.equal(balancePools(membersOf(2, 4), { prefill: 0, decode: 0 }, INTENT).map(({ stage }) => stage), ['decode'])
+})
+
 test('pools at the usual share stay', () => {
   assert.equal(balancePools(membersOf(2, 6), { prefill: 0, decode: 0 }, INTENT), [])
 })
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -53,7 +53,8 @@
   if (serving.length < members.length || serving.length < 2 * FEWEST) return []
   const prefills = serving.filter(({ stage }) => stage === 'prefill')
   const isIdle = work.prefill + work.decode < NO_WORK
-  const aim = isIdle ? clampPrefills(Math.round(serving.length * intent.usualPrefillShare), serving.length, intent) : aimOneStep(prefills.length, serving.length, work, intent)
+  // Rounded down: decode replicas can read prompts themselves, and nothing stands in for their memory.
+  const aim = isIdle ? clampPrefills(Math.floor(serving.length * intent.usualPrefillShare), serving.length, intent) : aimOneStep(prefills.length, serving.length, work, intent)
   const surplus = prefills.length - aim
   if (surplus > 0) return pick(prefills, surplus).map(({ replicaId }) => ({ replicaId, stage: 'decode' }))
   const decodes = serving.filter(({ stage }) => stage === 'decode')
