--- /dev/null
+++ b/packages/bendfall-compare/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Paired comparisons of builds and settings.
+ *
+ * @module
+ */
+export * from './CompareCell.js'
+export * from './CompareResults.js'
+export * from './CompareRunner.js'
+export * from './CompareStatistics.js'
+export * from './CompareTable.js'
+export * from './CompareVariant.js'
