--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
@@ -42,6 +42,19 @@
   assert.equal(balancePools([...members.slice(1), { ...members[0] as PoolMember, isServing: false }], { prefill: 0, decode: 0 }, INTENT), [])
 })
 
+test('a pool that lost its last replica is refilled without work to measure, also while others are away', () => {
+  const decodes = membersOf(0, 5)
+  assert.equal(balancePools(decodes, { prefill: 0, decode: 4.9 }, INTENT).map(({ stage }) => stage), ['prefill'])
+  const away = decodes.map((member, i) => ({ ...member, isServing: i > 1 }))
+  assert.equal(balancePools(away, { prefill: 0, decode: 2 }, INTENT).map(({ stage }) => stage), ['prefill'])
+  assert.equal(balancePools(membersOf(3, 0), { prefill: 2, decode: 0 }, INTENT).map(({ stage }) => stage), ['decode'])
+})
+
+test('a pool whose only replica is away for a moment is not refilled', () => {
+  const [prefill, ...decodes] = membersOf(1, 5)
+  assert.equal(balancePools([{ ...prefill as PoolMember, isServing: false }, ...decodes], { prefill: 0, decode: 4 }, INTENT), [])
+})
+
 test('the confirmed bounds hold', () => {
   assert.equal(balancePools(membersOf(1, 9), { prefill: 0.1, decode: 9 }, INTENT), [])
 })
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -50,7 +50,10 @@
  */
 export function balancePools (members: readonly PoolMember[], work: PoolWork, intent: PoolIntent): StageChange[] {
   const serving = members.filter(({ isServing }) => isServing)
-  if (serving.length < members.length || serving.length < 2 * FEWEST) return []
+  if (serving.length < 2 * FEWEST) return []
+  const refill = emptyPool(members)
+  if (refill !== undefined) return pick(serving, 1).map(({ replicaId }) => ({ replicaId, stage: refill }))
+  if (serving.length < members.length) return []
   const prefills = serving.filter(({ stage }) => stage === 'prefill')
   const isIdle = work.prefill + work.decode < NO_WORK
   // Rounded down: decode replicas can read prompts themselves, and nothing stands in for their memory.
@@ -61,6 +64,15 @@
   return pick(decodes, -surplus).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
 }
 
+// A pool that lost its last replica is refilled whatever the load: without work to
+// measure in it, the loads would never ask for one. On a day whose only prefill replica
+// was replaced, all prompts were read in place for 26 s, until the end.
+function emptyPool (members: readonly PoolMember[]): 'prefill' | 'decode' | undefined {
+  const stages = new Set(members.map(({ stage }) => stage))
+  if (!stages.has('decode')) return 'decode'
+  return stages.has('prefill') ? undefined : 'prefill'
+}
+
 // Under load one replica changes at a time, and only for a clear gain.
 function aimOneStep (prefills: number, total: number, work: PoolWork, intent: PoolIntent): number {
   const present = busierLoad(prefills, total, work)
