--- /dev/null
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerReport.ts
@@ -0,0 +1,111 @@
+/**
+ * What a ledger learns from the reports of its replica: which bookings run or ended,
+ * how fast answers grow, and what is free for those that wait with their prompt read.
+ *
+ * @module
+ */
+import type { Booking, LedgerEffect, LedgerState, ReplicaReport, ReportedRun } from './BendfallRouterLedgerState.js'
+import { learnOutput } from './BendfallRouterOutputModel.js'
+
+/** A booking whose run the replica does not report is dropped this long after its memory was due: its entry is gone. */
+const UNSEEN_MS = 1_500
+
+/** Weight of the newest reading in the learned speed. */
+const SPEED_WEIGHT = 0.1
+
+/** A request is reported this soon after it was sent: network, transfer and one step. */
+const ON_THE_WAY_MS = 150
+
+/** Growth of the other requests until a request arrives: a block for each of a dozen runs. */
+const GROWTH_TOKENS = 192
+
+/**
+ * Takes a report.
+ *
+ * @param state - changed in place
+ * @param report - of the replica
+ * @param nowMs - the time
+ */
+export function takeReport (state: LedgerState, report: ReplicaReport, nowMs: number): void {
+  const runs = new Map(report.runs.map((run) => [run.requestId, run]))
+  learnSpeed(state, runs, nowMs)
+  for (const booking of state.bookings.values()) {
+    if (runs.has(booking.requestId)) booking.seenAtMs ??= nowMs
+    else if (booking.seenAtMs !== undefined) endBooking(state, booking)
+  }
+  state.report = report
+  state.isHealthy = true
+  state.lastRuns = runs
+  state.lastReportAtMs = nowMs
+}
+
+function endBooking (state: LedgerState, booking: Booking): void {
+  const last = state.lastRuns.get(booking.requestId)
+  // What the replica reported last is short of the end by a report's age at most.
+  if (last !== undefined) state.output = learnOutput(state.output, booking.hintTokens, last.tokensInMemory - booking.promptTokens)
+  state.bookings.delete(booking.bookingId)
+}
+
+function learnSpeed (state: LedgerState, runs: ReadonlyMap<string, ReportedRun>, nowMs: number): void {
+  const elapsedMs = nowMs - state.lastReportAtMs
+  for (const [requestId, run] of runs) {
+    const before = state.lastRuns.get(requestId)
+    if (before === undefined || before.eventsMade === 0 || elapsedMs <= 0) continue
+    const grown = run.tokensInMemory - before.tokensInMemory
+    if (grown > 0) state.tokensPerMs += SPEED_WEIGHT * (grown / elapsedMs - state.tokensPerMs)
+  }
+}
+
+/**
+ * Confirms bookings whose memory is free at the replica, in the order in which it was
+ * granted. Only a report that was asked for after the confirmation shows what is free then.
+ *
+ * @param state - changed in place
+ * @param reportAskedAtMs - when the last report was asked for
+ * @param nowMs - the time
+ * @param effects - answers are added
+ */
+export function confirmWaiting (state: LedgerState, reportAskedAtMs: number, nowMs: number, effects: LedgerEffect[]): void {
+  const { report } = state
+  if (report === undefined) return
+  let freeTokens = report.capacityTokens - report.usedTokens - onTheWayTokens(state, nowMs)
+  for (const booking of state.bookings.values()) {
+    const { confirm } = booking
+    if (confirm === undefined) continue
+    const isFree = confirm.askedAtMs <= reportAskedAtMs && freeTokens >= booking.promptTokens + GROWTH_TOKENS
+    if (!isFree && nowMs < confirm.untilMs) {
+      freeTokens -= booking.promptTokens
+      continue
+    }
+    booking.confirm = undefined
+    if (isFree) {
+      booking.confirmedAtMs = nowMs
+      freeTokens -= booking.promptTokens
+    }
+    effects.push({ type: 'confirmed', bookingId: booking.bookingId, isFree })
+  }
+}
+
+// Memory of requests that were sent and that the replica does not report yet.
+function onTheWayTokens (state: LedgerState, nowMs: number): number {
+  let tokens = 0
+  for (const { confirmedAtMs, promptTokens, requestId } of state.bookings.values()) {
+    const isOnTheWay = confirmedAtMs !== undefined && nowMs - confirmedAtMs < ON_THE_WAY_MS && !state.lastRuns.has(requestId)
+    if (isOnTheWay) tokens += promptTokens
+  }
+  return tokens
+}
+
+/**
+ * Drops bookings whose run the replica never showed, and slots that were not used.
+ *
+ * @param state - changed in place
+ * @param nowMs - the time
+ */
+export function dropUnseen (state: LedgerState, nowMs: number): void {
+  for (const booking of state.bookings.values()) {
+    if (booking.slotUntilMs !== undefined && nowMs > booking.slotUntilMs) state.bookings.delete(booking.bookingId)
+    const dueAtMs = booking.confirmedAtMs ?? booking.grantedAtMs + booking.leadMs
+    if (nowMs > dueAtMs + UNSEEN_MS && booking.seenAtMs === undefined && booking.confirm === undefined) state.bookings.delete(booking.bookingId)
+  }
+}
