--- /dev/null
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeSettings.test.ts
@@ -0,0 +1,21 @@
+import { DEFAULT_DECISIONS } from 'bendfall-router'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { checkEdgeSettings, decisionsOf } from '../../BendfallEdgeSettings.js'
+
+const SETTINGS = { instanceId: 'entry-1', availabilityZone: 'a', ip: '10.0.0.1', peerPorts: [7100, 7110], keyValueAddress: '10.0.0.2:80', stopGraceS: 8 }
+
+test('mechanisms that the settings do not name are as users run them', () => {
+  const settings = checkEdgeSettings({ ...SETTINGS, decisions: { read: 'apart' } }, 'settings.json').unwrap()
+  assert.equal(decisionsOf(settings), { ...DEFAULT_DECISIONS, read: 'apart' })
+  assert.equal(decisionsOf(checkEdgeSettings(SETTINGS, 'settings.json').unwrap()), DEFAULT_DECISIONS)
+})
+
+test('an unknown mechanism or choice is a finding with its place', () => {
+  const findings = checkEdgeSettings({ ...SETTINGS, decisions: { read: 'aloud', speed: 'fast' } }, 'settings.json').unwrapErr()
+  const text = JSON.stringify(findings)
+  assert.match(text, /decisions.*read/)
+  assert.match(text, /speed/)
+})
+
+test.run()
--- a/packages/bendfallctl/src/BendfallctlExplain.ts
+++ b/packages/bendfallctl/src/BendfallctlExplain.ts
@@ -7,6 +7,8 @@
 import { createReadStream } from 'node:fs'
 import { createInterface } from 'node:readline'
 import type { CommandResult } from './BendfallctlExit.js'
+import { createLossRecorder, LOSS_COLUMNS } from './BendfallctlExplainLosses.js'
+import type { LateCause, SecondOfLosses } from './BendfallctlExplainLosses.js'
 import { readLogLine } from './BendfallctlLogLine.js'
 import type { LogLine } from './BendfallctlLogLine.js'
 
@@ -58,7 +60,8 @@
 }
 
 /**
- * Lists the requests that failed, by cause.
+ * Lists the requests that failed, by cause; those that were late, by the step that
+ * took longest; and the outcomes of each second.
  *
  * @param files - logs of entries, in any order
  * @returns causes, the most frequent first
@@ -66,10 +69,29 @@
 export async function explainFailures (files: readonly string[]): Promise<CommandResult> {
   const troubles = new Map<string, string>()
   const causes = new Map<string, string[]>()
-  const outcome = await readFiles(files, (line) => noteLine(line, troubles, causes))
+  const losses = createLossRecorder()
+  const outcome = await readFiles(files, (line) => {
+    noteLine(line, troubles, causes)
+    const requestId = requestOf(line)
+    // Sidecars write of a request beside its entry; the entry's lines alone are its steps.
+    if (requestId !== undefined && line.fields.has('request')) losses.take(requestId, line)
+  })
   const rows = [...causes].map(([cause, ids]): FailureCause => ({ cause, count: ids.length, requestIds: ids.slice(0, SHOWN_IDS) })).sort((a, b) => b.count - a.count)
   const text = rows.map(({ cause, count, requestIds }) => `${String(count).padStart(6)}  ${cause}  ${requestIds.join(' ')}`)
-  return { exit: exitOf(outcome, true), text: [...(rows.length === 0 ? ['no failed request'] : text), ...remarks(outcome)].join('\n'), json: { causes: rows, ...outcome } }
+  const late = losses.late()
+  const seconds = losses.seconds()
+  const lines = [...(rows.length === 0 ? ['no failed request'] : text), ...describeLate(late), ...describeSeconds(seconds), ...remarks(outcome)]
+  return { exit: exitOf(outcome, true), text: lines.join('\n'), json: { causes: rows, late, seconds, ...outcome } }
+}
+
+function describeLate (late: readonly LateCause[]): string[] {
+  return late.map(({ cause, count, meanMs }) => `${String(count).padStart(6)}  late, longest wait before ${cause}, ${meanMs} ms on average`)
+}
+
+function describeSeconds (seconds: readonly SecondOfLosses[]): string[] {
+  if (seconds.length === 0) return []
+  const head = ['second', ...LOSS_COLUMNS].map((name) => name.padStart(9)).join(' ')
+  return ['', head, ...seconds.map((row) => [row.second, ...LOSS_COLUMNS.map((name) => row[name])].map((value) => String(value).padStart(9)).join(' '))]
 }
 
 function noteLine (line: LogLine, troubles: Map<string, string>, causes: Map<string, string[]>): void {
--- a/packages/bendfallctl/src/__tests__/unit/BendfallctlExplain.test.ts
+++ b/packages/bendfallctl/src/__tests__/unit/BendfallctlExplain.test.ts
@@ -44,6 +44,18 @@
   ])
 }))
 
+test('late answers are listed by their longest wait, and all ends by second', () => withFiles(async (files) => {
+  const { json, text } = await explainFailures(files)
+  const { late, seconds } = json as { late: unknown, seconds: unknown }
+  assert.equal(late, [{ cause: 'answered', count: 1, meanMs: 1_000 }])
+  assert.equal(seconds, [
+    { second: 0, answered: 0, late: 0, refused: 1, cut: 0, cancelled: 0 },
+    { second: 1, answered: 0, late: 1, refused: 0, cut: 0, cancelled: 0 },
+    { second: 3, answered: 0, late: 0, refused: 0, cut: 1, cancelled: 0 }
+  ])
+  assert.match(text, /1 {2}late, longest wait before answered, 1000 ms on average/)
+}))
+
 test('a line that was cut is counted and passed over', () => withFiles(async (files) => {
   const { text } = await explainFailures(files)
   assert.match(text, '2 lines are none of bendfall')
