--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerServer.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerServer.ts
@@ -1,37 +1,16 @@
 /**
- * Serves the ledger of the model replica beside this process and feeds it with
- * the replica's reports.
+ * Serves the ledger of the model replica beside this process.
  *
  * @module
  */
-import type { Clock, Logger, PeerListener, Teardown } from 'bendfall-node'
+import type { Clock, Logger, PeerListener } from 'bendfall-node'
 import { createSignal, createUpdateLoop, listenForPeers, serveUnary } from 'bendfall-node'
 import { LedgerService } from 'bendfall-protocol'
 import type { ReserveMemoryRequest } from 'bendfall-protocol'
 import { createLedgerState, loadOf, reduceLedger } from 'bendfall-router'
 import type { LedgerEffect, LedgerEvent, LedgerState, MemoryAsk, RouterDecisions } from 'bendfall-router'
-import type { EngineReport, ReplicaDialect } from '../BendfallEdgeDialect.js'
-import { createConnectionPool } from '../replica/BendfallEdgeConnections.js'
-import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
-import { startReplicaCall } from '../replica/BendfallEdgeReplicaCall.js'
-
-/** Between two reports while requests are held or wait; a step takes 4 ms, a booking lasts seconds. */
-const BUSY_PERIOD_MS = 50
-
-/** Between two reports while a request waits with its prompt read: each of them costs the caller that much. */
-const CONFIRM_PERIOD_MS = 15
-
-/** Between two reports of an idle replica. */
-const IDLE_PERIOD_MS = 300
-
-/** A report later than this is a failure. */
-const REPORT_TIMEOUT_MS = 400
-
-/** Reports that fail in a row before the replica counts as unhealthy. */
-const FAILURES_TO_UNHEALTHY = 2
-
-/** Longest body of a report. */
-const REPORT_BYTES = 262_144
+import type { ReplicaDialect } from '../BendfallEdgeDialect.js'
+import { followReports } from './BendfallEdgeReports.js'
 
 interface LedgerAnswer {
   readonly isGranted: boolean
@@ -68,17 +47,15 @@
  * @throws Error when the address can't be bound
  */
 export async function startLedgerServer (options: LedgerServerOptions): Promise<LedgerServer> {
-  const { clock, dialect, logger } = options
+  const { clock, logger } = options
   const state = createLedgerState(Math.floor(Math.random() * 0x7fffffff) + 1, options.decisions)
   const loop = createUpdateLoop<LedgerEvent, LedgerEffect>((event) => reduceLedger(state, event), clock)
   const changed = createSignal(clock)
-  const pool = createConnectionPool(options.replicaAddress, () => {})
   const waiting = new Map<string, (answer: LedgerAnswer) => void>()
   const confirming = new Map<string, (isFree: boolean) => void>()
-  const ended = new AbortController()
-  const wanted = createSignal(clock)
+  const reports = followReports({ ...options, loop, state: () => state })
 
-  loop.registerEffect('read_report', () => wanted.notify())
+  loop.registerEffect('read_report', reports.wanted)
   loop.registerEffect('confirmed', ({ bookingId, isFree }) => {
     logger.info('booking_confirmed', { booking: bookingId, isFree, usedTokens: state.report?.usedTokens, capacityTokens: state.report?.capacityTokens, runs: state.lastRuns.size })
     confirming.get(bookingId)?.(isFree)
@@ -132,82 +109,17 @@
     })
   })
 
-  async function follow (): Promise<void> {
-    let failures = 0
-    while (!ended.signal.aborted) {
-      const askedAtMs = clock.nowMs()
-      const report = await readReport(pool, dialect, clock)
-      if (report === undefined) {
-        failures += 1
-        if (failures === FAILURES_TO_UNHEALTHY) logger.warn('replica_lost', { address: options.replicaAddress })
-        if (failures >= FAILURES_TO_UNHEALTHY) loop.dispatch({ type: 'report_failed' })
-      } else {
-        if (failures >= FAILURES_TO_UNHEALTHY) logger.info('replica_regained', { address: options.replicaAddress })
-        failures = 0
-        logger.debug('report', { ...report, runs: report.runs.map((run) => `${run.requestId}:${run.tokensInMemory}:${run.eventsMade}`).join(',') })
-        if (isNews(state, report)) loop.dispatch({ type: 'report_read', report, askedAtMs })
-      }
-      await wanted.wait(periodOf(state, askedAtMs), ended.signal)
-    }
-  }
-
-  follow().catch((error: unknown) => logger.error('report_loop_ended', { error }))
   return {
     address: listener.address,
     state: () => state,
     close: async () => {
-      ended.abort()
-      pool.destroy()
+      reports.close()
       await listener.close()
     }
   }
 }
 
-// A confirmation that came while the report was on its way needs another one at once.
-function periodOf (state: LedgerState, reportAskedAtMs: number): number {
-  const confirms = [...state.bookings.values()].flatMap(({ confirm }) => confirm ?? [])
-  if (confirms.some(({ askedAtMs }) => askedAtMs > reportAskedAtMs)) return 0
-  if (confirms.length > 0) return CONFIRM_PERIOD_MS
-  return isBusy(state) ? BUSY_PERIOD_MS : IDLE_PERIOD_MS
-}
-
-function isBusy (state: LedgerState): boolean {
-  return state.bookings.size + state.waiting.length + state.lastRuns.size > 0 || (state.report?.active ?? 0) > 0
-}
-
-// An idle replica's report that repeats the last one wakes no entry.
-function isNews (state: LedgerState, report: EngineReport): boolean {
-  const { report: last } = state
-  if (!state.isHealthy || last === undefined || isBusy(state) || report.active > 0 || report.queued > 0) return true
-  return last.stage !== report.stage || last.isSwitching !== report.isSwitching || last.capacityTokens !== report.capacityTokens
-}
-
 function toAsk (request: ReserveMemoryRequest): MemoryAsk {
   const { bookingId, hintTokens, leadMs, maxOutputTokens, maxWaitMs, priority, promptTokens, readsInPlace, requestId, targetMs } = request
   return { bookingId, hintTokens, leadMs, maxOutputTokens, maxWaitMs, priority, promptTokens, readsInPlace, requestId, targetMs }
 }
-
-function readReport (pool: ConnectionPool, dialect: ReplicaDialect, clock: Clock): Promise<EngineReport | undefined> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    let status = 0
-    const call = startReplicaCall(pool, { ...dialect.report, headers: [] }, {
-      onHead: (answered) => { status = answered },
-      onChunk: (chunk) => {
-        bytes += chunk.length
-        if (bytes <= REPORT_BYTES) chunks.push(chunk)
-      },
-      onEnd: () => finish(status === 200 ? dialect.readReport(Buffer.concat(chunks)).unwrapOr(undefined) : undefined),
-      onFail: () => finish(undefined)
-    })
-    const cancel: Teardown = clock.callAt(clock.nowMs() + REPORT_TIMEOUT_MS, () => {
-      call.abort()
-      finish(undefined)
-    })
-    function finish (report: EngineReport | undefined): void {
-      cancel()
-      resolve(report)
-    }
-  })
-}
--- /dev/null
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
@@ -0,0 +1,140 @@
+/**
+ * Reads the reports of the model replica beside this process and feeds its ledger
+ * with them: often while requests wait, rarely while it is idle.
+ *
+ * @module
+ */
+import type { Clock, Logger, Teardown, UpdateLoop } from 'bendfall-node'
+import { createSignal } from 'bendfall-node'
+import type { LedgerEffect, LedgerEvent, LedgerState } from 'bendfall-router'
+import type { EngineReport, ReplicaDialect } from '../BendfallEdgeDialect.js'
+import { createConnectionPool } from '../replica/BendfallEdgeConnections.js'
+import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
+import { startReplicaCall } from '../replica/BendfallEdgeReplicaCall.js'
+
+/** Between two reports while requests are held or wait; a step takes 4 ms, a booking lasts seconds. */
+const BUSY_PERIOD_MS = 50
+
+/** Between two reports while a request waits with its prompt read: each of them costs the caller that much. */
+const CONFIRM_PERIOD_MS = 15
+
+/** Between two reports of an idle replica. */
+const IDLE_PERIOD_MS = 300
+
+/** A report later than this is a failure. */
+const REPORT_TIMEOUT_MS = 400
+
+/** Reports that fail in a row before the replica counts as unhealthy. */
+const FAILURES_TO_UNHEALTHY = 2
+
+/** Longest body of a report. */
+const REPORT_BYTES = 262_144
+
+/** What following needs. */
+export interface ReportsOptions {
+  /** `ip:port` of the replica. */
+  readonly replicaAddress: string
+  readonly dialect: ReplicaDialect
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly loop: UpdateLoop<LedgerEvent, LedgerEffect>
+  /** @returns state of the ledger */
+  readonly state: () => LedgerState
+}
+
+/** Reports that are followed. */
+export interface Reports {
+  /** Asks for a report before the next one is due. */
+  readonly wanted: () => void
+  readonly close: Teardown
+}
+
+/**
+ * Starts to follow the reports.
+ *
+ * @param options - replica and ledger
+ * @returns the reports
+ */
+export function followReports (options: ReportsOptions): Reports {
+  const { clock, dialect, logger, loop, replicaAddress, state } = options
+  const pool = createConnectionPool(replicaAddress, () => {})
+  const ended = new AbortController()
+  const wanted = createSignal(clock)
+  let failures = 0
+
+  function noteFailure (): void {
+    failures += 1
+    if (failures === FAILURES_TO_UNHEALTHY) logger.warn('replica_lost', { address: replicaAddress })
+    if (failures >= FAILURES_TO_UNHEALTHY) loop.dispatch({ type: 'report_failed' })
+  }
+
+  function noteReport (report: EngineReport, askedAtMs: number): void {
+    if (failures >= FAILURES_TO_UNHEALTHY) logger.info('replica_regained', { address: replicaAddress })
+    failures = 0
+    logger.debug('report', { ...report, runs: report.runs.map((run) => `${run.requestId}:${run.tokensInMemory}:${run.eventsMade}`).join(',') })
+    if (isNews(state(), report)) loop.dispatch({ type: 'report_read', report, askedAtMs })
+  }
+
+  async function follow (): Promise<void> {
+    while (!ended.signal.aborted) {
+      const askedAtMs = clock.nowMs()
+      const report = await readReport(pool, dialect, clock)
+      if (report === undefined) noteFailure()
+      else noteReport(report, askedAtMs)
+      await wanted.wait(periodOf(state(), askedAtMs), ended.signal)
+    }
+  }
+
+  follow().catch((error: unknown) => logger.error('report_loop_ended', { error }))
+  return {
+    wanted: () => wanted.notify(),
+    close: () => {
+      ended.abort()
+      pool.destroy()
+    }
+  }
+}
+
+// A confirmation that came while the report was on its way needs another one at once.
+function periodOf (state: LedgerState, reportAskedAtMs: number): number {
+  const confirms = [...state.bookings.values()].flatMap(({ confirm }) => confirm ?? [])
+  if (confirms.some(({ askedAtMs }) => askedAtMs > reportAskedAtMs)) return 0
+  if (confirms.length > 0) return CONFIRM_PERIOD_MS
+  return isBusy(state) ? BUSY_PERIOD_MS : IDLE_PERIOD_MS
+}
+
+function isBusy (state: LedgerState): boolean {
+  return state.bookings.size + state.waiting.length + state.lastRuns.size > 0 || (state.report?.active ?? 0) > 0
+}
+
+// An idle replica's report that repeats the last one wakes no entry.
+function isNews (state: LedgerState, report: EngineReport): boolean {
+  const { report: last } = state
+  if (!state.isHealthy || last === undefined || isBusy(state) || report.active > 0 || report.queued > 0) return true
+  return last.stage !== report.stage || last.isSwitching !== report.isSwitching || last.capacityTokens !== report.capacityTokens
+}
+
+function readReport (pool: ConnectionPool, dialect: ReplicaDialect, clock: Clock): Promise<EngineReport | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    let status = 0
+    const call = startReplicaCall(pool, { ...dialect.report, headers: [] }, {
+      onHead: (answered) => { status = answered },
+      onChunk: (chunk) => {
+        bytes += chunk.length
+        if (bytes <= REPORT_BYTES) chunks.push(chunk)
+      },
+      onEnd: () => finish(status === 200 ? dialect.readReport(Buffer.concat(chunks)).unwrapOr(undefined) : undefined),
+      onFail: () => finish(undefined)
+    })
+    const cancel: Teardown = clock.callAt(clock.nowMs() + REPORT_TIMEOUT_MS, () => {
+      call.abort()
+      finish(undefined)
+    })
+    function finish (report: EngineReport | undefined): void {
+      cancel()
+      resolve(report)
+    }
+  })
+}
