--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
@@ -83,4 +83,18 @@
   assert.equal(world.send({ type: 'balance_due', fence: 3 }), [])
 })
 
+test('an order to a replica that leaves is given to another one at once', () => {
+  const replicas = ['d1', 'd2', 'd3'].map((id) => replicaOf(id, 'decode'))
+  const world = createWorld([summaryRoute()], replicas)
+  for (const { replicaId } of replicas) world.send({ type: 'load_learned', load: loadOf(replicaId, 'decode', 37_000) })
+  world.state.poolIntent = INTENT
+  const [first] = world.send({ type: 'balance_due', fence: 3 })
+  const ordered = first?.type === 'order_stage' ? first.replicaId : ''
+  assert.equal(world.send({ type: 'balance_due', fence: 3 }), [])
+  world.send({ type: 'replicas_changed', present: replicas.map((replica) => ({ ...replica, isDraining: replica.replicaId === ordered })), gone: [] })
+  const [second] = world.send({ type: 'balance_due', fence: 3 })
+  assert.is(second?.type, 'order_stage')
+  assert.is.not(second?.type === 'order_stage' ? second.replicaId : ordered, ordered)
+})
+
 test.run()
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -38,10 +38,12 @@
     const work = measure(context, service.name, beliefs)
     if (event.fence === undefined || state.poolIntent === undefined || state.decisions.pools === 'as_found' || beliefs.length === 0) continue
     const switchMs = service.engine.switchMs === 0 ? FIRST_SWITCH_MS : service.engine.switchMs
-    if (context.nowMs < (state.nextOrderAtMs.get(service.name) ?? -Infinity)) continue
+    if (!hasLostOrders(context, service.name) && context.nowMs < (state.nextOrderAtMs.get(service.name) ?? -Infinity)) continue
     const changes = balancePools(beliefs.map((belief) => toMember(context, belief)), work, state.poolIntent)
     for (const change of changes) order(context, change.replicaId, change.stage, event.fence, work)
-    if (changes.length > 0) state.nextOrderAtMs.set(service.name, context.nowMs + switchMs + SETTLE_MS)
+    if (changes.length === 0) continue
+    state.nextOrderAtMs.set(service.name, context.nowMs + switchMs + SETTLE_MS)
+    state.orderedReplicas.set(service.name, changes.map(({ replicaId }) => replicaId))
   }
 }
 
@@ -57,6 +59,13 @@
   if (belief !== undefined && event.outcome === 'unknown') context.state.nextOrderAtMs.set(belief.replica.service, context.nowMs + LATE_ORDER_MS)
 }
 
+// A replica that leaves or is gone will not carry its order out: waiting for it left a
+// pool empty for 13 s on a day on which the only prefill replica was replaced.
+function hasLostOrders ({ state }: RouterContext, service: string): boolean {
+  const ordered = state.orderedReplicas.get(service) ?? []
+  return ordered.length > 0 && ordered.every((replicaId) => state.replicas.get(replicaId)?.replica.isDraining !== false)
+}
+
 function order (context: RouterContext, replicaId: string, stage: 'prefill' | 'decode' | 'plain', fence: number, work: PoolWork): void {
   const belief = context.state.replicas.get(replicaId)
   if (belief === undefined) return
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -149,6 +149,8 @@
   readonly poolWork: Map<string, PoolWork>
   /** When a service's pools may be changed again. */
   readonly nextOrderAtMs: Map<string, number>
+  /** Replicas that a service's last orders went to. */
+  readonly orderedReplicas: Map<string, readonly string[]>
   seed: number
   /** Set once the process is to stop. */
   stop?: { readonly askedAtMs: number, readonly killAtMs: number }
@@ -182,6 +184,7 @@
     inPlaceMsPerToken: FIRST_IN_PLACE_MS_PER_TOKEN,
     poolWork: new Map(),
     nextOrderAtMs: new Map(),
+    orderedReplicas: new Map(),
     seed
   }
 }
