--- a/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
@@ -10,6 +10,8 @@
   /** Streams a second, by the second of the load. */
   readonly perSecond: readonly number[]
   readonly decisions?: Partial<RouterDecisions>
+  /** Seed of arrivals and sizes; 11 when absent. */
+  readonly seed?: number
   /** Replicas that go silent for good, and when. */
   readonly lost?: ReadonlyArray<{ readonly replicaId: string, readonly atMs: number }>
 }
@@ -78,10 +80,11 @@
   private readonly timeline: Array<{ readonly atMs: number, readonly order: number, readonly act: () => void }> = []
   private nowMs = 0
   private order = 0
-  private seed = 11
+  private seed: number
   private longestRefusalMs = 0
 
   constructor (private readonly load: Load) {
+    this.seed = load.seed ?? 11
     const decisions = { ...DEFAULT_DECISIONS, ...load.decisions }
     this.entry = createRouterState(7, 'entry-1', decisions)
     const names: Array<[string, ReplicaStage]> = [
