--- a/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
@@ -67,6 +67,7 @@
 const QUIET_MS = 3_600
 const TARGET_MS = 900
 const END_MS = 15_000
+const ANNOUNCED_MS = 500
 
 /** Plays a load on one entry and the ledgers of its replicas, in virtual time. */
 export function playLoad (load: Load): LoadResult {
@@ -145,22 +146,26 @@
     for (const effect of reduceRouter(this.entry, event)) this.carryOut(effect)
   }
 
+  private readonly effects: { readonly [T in RouterEffect['type']]?: (effect: RouterEffectOf<T>) => void } = {
+    abort_send: ({ key }) => { for (const engine of this.engines.values()) engine.runs.delete(key) },
+    announce_prefill: (effect) => this.tellLedger(effect.replicaId, {
+      type: 'memory_asked',
+      atMs: 0,
+      ask: { ...effect, requestId: requestOf(effect.bookingId), hintTokens: 0, maxOutputTokens: 0, leadMs: ANNOUNCED_MS, maxWaitMs: 0, priority: 0, targetMs: 0, readsInPlace: false }
+    }),
+    confirm: ({ bookingId, maxWaitMs, replicaId }) => this.tellLedger(replicaId, { type: 'confirm_asked', atMs: 0, bookingId, maxWaitMs }),
+    queue_prefill: (effect) => this.book(effect),
+    refuse: (effect) => this.refuse(effect),
+    release: ({ bookingId, replicaId }) => this.tellLedger(replicaId, { type: 'ask_withdrawn', atMs: 0, bookingId }),
+    reserve: (effect) => this.book(effect),
+    send_prefill: (effect) => this.prefill(effect),
+    send_run: (effect) => this.run(effect)
+  }
+
+  // What is not in the table changes nothing in this world.
   private carryOut (effect: RouterEffect): void {
-    switch (effect.type) {
-      case 'reserve':
-      case 'queue_prefill': return this.book(effect)
-      case 'announce_prefill': return this.tellLedger(effect.replicaId, { type: 'memory_asked', atMs: 0, ask: { ...effect, requestId: requestOf(effect.bookingId), hintTokens: 0, maxOutputTokens: 0, leadMs: 500, maxWaitMs: 0, priority: 0, targetMs: 0, readsInPlace: false } })
-      case 'confirm': return this.tellLedger(effect.replicaId, { type: 'confirm_asked', atMs: 0, bookingId: effect.bookingId, maxWaitMs: effect.maxWaitMs })
-      case 'release':
-        this.tellLedger(effect.replicaId, { type: 'ask_withdrawn', atMs: 0, bookingId: effect.bookingId })
-        return
-      case 'send_prefill': return this.prefill(effect)
-      case 'send_run': return this.run(effect)
-      case 'refuse': return this.refuse(effect)
-      case 'abort_send': {
-        for (const engine of this.engines.values()) engine.runs.delete(effect.key)
-      }
-    }
+    const act = this.effects[effect.type] as ((effect: RouterEffect) => void) | undefined
+    act?.(effect)
   }
 
   private book (effect: RouterEffectOf<'reserve'> | RouterEffectOf<'queue_prefill'>): void {
@@ -180,9 +185,8 @@
   }
 
   private carryOutLedger (engine: Engine, effect: LedgerEffect): void {
-    if (effect.type === 'read_report') this.after(HOP_MS, () => this.readReport(engine))
     if (effect.type === 'load_changed') return
-    if (effect.type === 'read_report') return
+    if (effect.type === 'read_report') return this.after(HOP_MS, () => this.readReport(engine))
     const key = requestOf(effect.bookingId)
     const attempt = Number(effect.bookingId.slice(effect.bookingId.lastIndexOf('/') + 1))
     this.after(HOP_MS, () => this.answer(engine, key, attempt, effect))
