--- a/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
@@ -57,16 +57,24 @@
  * @returns the next step
  */
 export function startReserve (context: RouterContext, request: RequestState): NextStep {
-  const prompt = request.prompt as Prompt
-  const decodes = usableReplicas(context, request, 'decode').filter((belief) => request.reading !== 'in_place' || canReadNow(belief, request))
-  if (decodes.length === 0 && request.reading === 'in_place') return readApart(context, request)
+  return request.reading === 'in_place' ? reserveReader(context, request) : reserveRoom(context, request)
+}
+
+// Nobody waits for a replica that is to read the prompt itself: its point is to be sooner.
+function reserveReader (context: RouterContext, request: RequestState): NextStep {
+  const readers = usableReplicas(context, request, 'decode').filter((belief) => canReadNow(belief, request))
+  if (readers.length === 0) return readApart(context, request)
+  const best = chooseOption(context, readers.map((belief) => toOption(context, belief, expectedTokens(request))))
+  return best === undefined || best.waitMs > 0 ? readApart(context, request) : ask(context, request, best, 0, 0)
+}
+
+function reserveRoom (context: RouterContext, request: RequestState): NextStep {
+  const decodes = usableReplicas(context, request, 'decode')
   if (decodes.length === 0) return refuseMemory(context, request, NO_REPLICA_RETRY_MS, 'no_replica')
   const plan = planPrefill(context, request)
   const leadMs = request.handle !== undefined ? 0 : plan?.leadMs ?? 0
-  const maxWaitMs = request.reading === 'in_place' ? 0 : longestWaitMs(context, request, leadMs)
-  const tokens = prompt.promptTokens + hintOf(prompt)
-  const best = chooseOption(context, decodes.map((belief) => toOption(context, belief, tokens)))
-  if (request.reading === 'in_place' && best !== undefined && best.waitMs > 0) return readApart(context, request)
+  const maxWaitMs = longestWaitMs(context, request, leadMs)
+  const best = chooseOption(context, decodes.map((belief) => toOption(context, belief, expectedTokens(request))))
   if (best === undefined || maxWaitMs < 0 || best.waitMs > maxWaitMs + leadMs) {
     return refuseMemory(context, request, Math.min(best?.waitMs ?? Infinity, request.retryAfterMs ?? Infinity), 'no_memory')
   }
@@ -211,6 +219,10 @@
   return Math.min((brokenOffAtMs ?? arrivedAtMs) + route.patienceMs, deadlineAtMs)
 }
 
+function expectedTokens ({ prompt }: RequestState): number {
+  return prompt === undefined ? 0 : prompt.promptTokens + hintOf(prompt)
+}
+
 function hintOf ({ maxOutputTokens, outputHintTokens }: Prompt): number {
   return Math.min(maxOutputTokens, outputHintTokens ?? maxOutputTokens)
 }
