--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerClients.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerClients.ts
@@ -4,29 +4,12 @@
  *
  * @module
  */
-import { AnsweringSessionManager, callUnary, combineTeardowns, pause } from 'bendfall-node'
+import { AnsweringSessionManager, callUnary, combineTeardowns } from 'bendfall-node'
 import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { LedgerService } from 'bendfall-protocol'
-import type { ReplicaLoad as LoadMessage, ReserveMemoryRequest } from 'bendfall-protocol'
-import type { ConfirmOutcome, Replica, ReplicaLoad, ReplicaStage, ReserveOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
-
-/** Wait of one call for a changed load. */
-const WATCH_WAIT_MS = 1_000
-
-/**
- * Between two loads of one decode replica, for each replica that is followed, so
- * that following costs the same with ten and with forty of them.
- */
-const WATCH_PAUSE_MS = 10
-
-/** The same for a prefill replica, whose queue changes within the tenth of a second that a prompt takes. */
-const PREFILL_WATCH_PAUSE_MS = 3
-
-/** Answers later than this beyond their wait count as lost. */
-const CALL_SLACK_MS = 250
-
-/** Between tries to reach a ledger that does not answer. */
-const RETRY_PAUSE_MS = 500
+import type { ConfirmOutcome, Replica, ReserveOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
+import { CALL_SLACK_MS, fromMessage, toRequest, withTimeout } from './BendfallEdgeLedgerMessages.js'
+import { watchLoad } from './BendfallEdgeLoadWatch.js'
 
 /** A prompt that nobody says was read is shown to others for this long and the time that ledgers add. */
 const PREFILL_SHOWN_MS = 500
@@ -38,8 +21,6 @@
 /** Keeps the connection between requests. */
 const IDLE_TIMEOUT_MS = 60_000
 
-const STAGES: ReadonlySet<string> = new Set(['prefill', 'decode'])
-
 /** What the clients need. */
 export interface LedgerClientOptions {
   readonly loop: UpdateLoop<RouterEvent, RouterEffect>
@@ -79,7 +60,8 @@
   function start (replica: Replica): void {
     const ledger = { session: ledgerAt(replica.address), ended: new AbortController() }
     ledgers.set(replica.replicaId, ledger)
-    watch(replica.replicaId, ledger).catch((error: unknown) => logger.error('ledger_watch_ended', { replica: replica.replicaId, error }))
+    watchLoad({ replicaId: replica.replicaId, session: ledger.session, loop, logger, followed: () => ledgers.size, ended: ledger.ended.signal })
+      .catch((error: unknown) => logger.error('ledger_watch_ended', { replica: replica.replicaId, error }))
   }
 
   function stop (replicaId: string): void {
@@ -89,29 +71,6 @@
     ledger?.session.abort()
   }
 
-  async function watch (replicaId: string, { ended, session }: Ledger): Promise<void> {
-    let haveNumber = 0
-    let isReached = true
-    while (!ended.signal.aborted) {
-      try {
-        const answer = await withTimeout(callUnary(session, LedgerService.method.watchLoad, { haveNumber, waitMs: WATCH_WAIT_MS }, { timeoutMs: WATCH_WAIT_MS + CALL_SLACK_MS, signal: ended.signal }), WATCH_WAIT_MS + CALL_SLACK_MS)
-        if (!isReached) logger.info('ledger_regained', { replica: replicaId })
-        isReached = true
-        if (answer.number !== haveNumber) loop.dispatch({ type: 'load_learned', load: fromMessage(replicaId, answer) })
-        haveNumber = answer.number
-        await pause(loop.clock, ledgers.size * (answer.stage === 'prefill' ? PREFILL_WATCH_PAUSE_MS : WATCH_PAUSE_MS), ended.signal)
-      } catch (error) {
-        if (ended.signal.aborted) return
-        session.abort()
-        haveNumber = 0
-        if (isReached) logger.warn('ledger_lost', { replica: replicaId, error })
-        isReached = false
-        loop.dispatch({ type: 'ledger_lost', replicaId })
-        await pause(loop.clock, RETRY_PAUSE_MS, ended.signal)
-      }
-    }
-  }
-
   async function reserve (effect: RouterEffectOf<'reserve'> | RouterEffectOf<'queue_prefill'>): Promise<ReserveOutcome> {
     const session = ledgers.get(effect.replicaId)?.session
     if (session === undefined) return { type: 'unreachable' }
@@ -194,38 +153,3 @@
     }
   }
 }
-
-function toRequest (effect: RouterEffectOf<'reserve'> | RouterEffectOf<'queue_prefill'>): Omit<ReserveMemoryRequest, '$typeName' | '$unknown'> {
-  return {
-    requestId: effect.bookingId.slice(0, effect.bookingId.lastIndexOf('/')),
-    bookingId: effect.bookingId,
-    promptTokens: effect.promptTokens,
-    hintTokens: effect.type === 'reserve' ? effect.hintTokens : 0,
-    maxOutputTokens: effect.type === 'reserve' ? effect.maxOutputTokens : 0,
-    leadMs: Math.round(effect.leadMs),
-    maxWaitMs: Math.max(0, Math.round(effect.maxWaitMs)),
-    priority: effect.priority,
-    targetMs: Math.round(effect.targetMs),
-    readsInPlace: effect.type === 'reserve' && effect.readsInPlace
-  }
-}
-
-function fromMessage (replicaId: string, message: LoadMessage): ReplicaLoad {
-  return {
-    replicaId,
-    stage: STAGES.has(message.stage) ? message.stage as ReplicaStage : undefined,
-    isHealthy: message.healthy,
-    capacityTokens: message.capacityTokens,
-    roomTokens: message.roomTokens,
-    backlogTokens: message.backlogTokens
-  }
-}
-
-// A connection that is being opened to an instance without power is not bounded by the call's own timeout.
-function withTimeout<T> (answer: Promise<T>, timeoutMs: number): Promise<T> {
-  let timer: NodeJS.Timeout
-  const late = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(() => reject(new Error(`no answer within ${timeoutMs} ms`)), timeoutMs)
-  })
-  return Promise.race([answer, late]).finally(() => clearTimeout(timer))
-}
