Log what an entry knows of leaving replicas, and how old it is

Cause: a registration that was forgotten left no line, and neither did a removal that was dropped after an outage; a send did not tell how old the news was that it went by.

Change: replica_gone, removals_held, directory_was_behind, newsAgeMs of sends, a histogram and a counter. No decision changes.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -108,6 +108,7 @@
     port: keyValue,
     dialect: dialect.directory,
     logger,
+    metrics,
     onReplicas: () => { hasReplicas = true },
     onConfig: () => callers.applyLimits(),
     onChange: () => {
--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
@@ -39,6 +39,8 @@
     listener: {
       onPresent: (entries) => { seen.push(`+${entries.map(({ key }) => key).join(',')}`) },
       onGone: (keys) => { seen.push(`-${keys.join(',')}`) },
+      onCurrent: () => {},
+      onHeld: (keys) => { seen.push(`held ${keys.join(',')}`) },
       onReachable: (isReachable) => { seen.push(isReachable ? 'back' : 'lost') }
     }
   })
--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -8,6 +8,7 @@
 import type { KeyValueEntry, KeyValuePort } from 'bendfall-platform'
 import type { RouterEffect, RouterEvent } from 'bendfall-router'
 import type { DirectoryDialect } from '../BendfallEdgeDialect.js'
+import type { Metrics } from '../observe/BendfallEdgeMetrics.js'
 import { followPrefix } from './BendfallEdgeFollow.js'
 
 /** What the directory needs. */
@@ -22,8 +23,12 @@
   readonly onConfig: () => void
   /** Called after a change of the replicas. */
   readonly onChange: () => void
+  readonly metrics: Metrics
 }
 
+/** Longer than this without an answer of the service is worth a line: a watch of two seconds and its way. */
+const BEHIND_MS = 2_300
+
 /**
  * Starts to learn.
  *
@@ -31,7 +36,15 @@
  * @returns teardown
  */
 export function registerDirectory (options: DirectoryOptions): Teardown {
-  const { dialect, logger, loop, onChange, onConfig, onReplicas, port } = options
+  const { dialect, logger, loop, metrics, onChange, onConfig, onReplicas, port } = options
+  const noteBlind = (prefix: string, blindMs: number): void => {
+    metrics.measureMs('bendfall_directory_blind_milliseconds', blindMs, { prefix })
+    if (blindMs > BEHIND_MS) logger.warn('directory_was_behind', { prefix, blindMs: Math.round(blindMs) })
+  }
+  const noteHeld = (keys: readonly string[], returnedMs: number): void => {
+    metrics.count('bendfall_removals_held_total')
+    logger.info('removals_held', { keys: keys.join(','), returnedMs: Math.round(returnedMs) })
+  }
   const onReachable = (isReachable: boolean, detail: string): void => {
     if (isReachable) logger.info('store_regained', { detail })
     else logger.warn('store_lost', { detail })
@@ -59,7 +72,12 @@
   }
 
   return combineTeardowns([
-    followPrefix({ port, clock: loop.clock, prefix: dialect.configPrefix, listener: { onPresent: takeConfig, onGone: () => {}, onReachable } }),
+    followPrefix({
+      port,
+      clock: loop.clock,
+      prefix: dialect.configPrefix,
+      listener: { onPresent: takeConfig, onGone: () => {}, onCurrent: (blindMs) => noteBlind(dialect.configPrefix, blindMs), onHeld: noteHeld, onReachable }
+    }),
     followPrefix({
       port,
       clock: loop.clock,
@@ -70,6 +88,11 @@
           loop.dispatch({ type: 'replicas_changed', present: [], gone: keys.map(dialect.readReplicaId) })
           onChange()
         },
+        onCurrent: (blindMs) => {
+          noteBlind(dialect.replicaPrefix, blindMs)
+          loop.dispatch({ type: 'replicas_current' })
+        },
+        onHeld: noteHeld,
         onReachable: () => {}
       }
     })
--- a/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
@@ -29,6 +29,10 @@
 export interface FollowListener {
   readonly onPresent: (entries: readonly KeyValueEntry[]) => void
   readonly onGone: (keys: readonly string[]) => void
+  /** All changes up to now were told; `blindMs` is the time since they last were. */
+  readonly onCurrent: (blindMs: number) => void
+  /** Keys whose removal is not believed yet, since the service was away until `returnedMs` ago. */
+  readonly onHeld: (keys: readonly string[], returnedMs: number) => void
   /** The service was lost or is back. */
   readonly onReachable: (isReachable: boolean, detail: string) => void
 }
@@ -55,6 +59,12 @@
   let isReachable = true
   let returnedAtMs = -Infinity
   let fullReadAtMs = -Infinity
+  let currentAtMs = clock.nowMs()
+
+  function noteCurrent (): void {
+    listener.onCurrent(clock.nowMs() - currentAtMs)
+    currentAtMs = clock.nowMs()
+  }
 
   function noteFailure (detail: string): void {
     if (ended.signal.aborted) return
@@ -80,7 +90,8 @@
   function takeGone (keys: readonly string[]): void {
     const gone = keys.filter((key) => known.has(key))
     // What lapsed in an outage may be back soon: the full read after it decides.
-    if (gone.length === 0 || isReturning()) return
+    if (gone.length === 0) return
+    if (isReturning()) return listener.onHeld(gone, clock.nowMs() - returnedAtMs)
     for (const key of gone) known.delete(key)
     listener.onGone(gone)
   }
@@ -95,6 +106,7 @@
     const present = new Set(outcome.entries.map(({ key }) => key))
     takePresent(outcome.entries)
     takeGone([...known].filter((key) => !present.has(key)))
+    noteCurrent()
     fullReadAtMs = clock.nowMs()
     return outcome.storeRevision
   }
@@ -113,9 +125,11 @@
       if (outcome.type === 'history_lost') return
       noteAnswer(clock.nowMs() - askedAtMs > WATCH_WAIT_MS + LATE_WATCH_MS)
       revision = outcome.storeRevision
-      if (outcome.type === 'unchanged') continue
-      takePresent(outcome.entries)
-      takeGone(outcome.deletedKeys)
+      if (outcome.type === 'changed') {
+        takePresent(outcome.entries)
+        takeGone(outcome.deletedKeys)
+      }
+      noteCurrent()
     }
   }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterContext.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterContext.ts
@@ -81,3 +81,14 @@
 export function remainingMs ({ nowMs }: RouterContext, request: RequestState): number {
   return Math.max(0, request.deadlineAtMs - nowMs)
 }
+
+/**
+ * Age of what is known of the registrations: a replica that left since then is not
+ * known to have left.
+ *
+ * @param context - of the event
+ * @returns whole milliseconds; undefined before the first read
+ */
+export function newsAgeMs ({ nowMs, state }: RouterContext): number | undefined {
+  return state.replicasCurrentAtMs === -Infinity ? undefined : Math.round(nowMs - state.replicasCurrentAtMs)
+}
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -6,7 +6,7 @@
 import { noteFailure, noteSuccess, usableReplicas } from './BendfallRouterBelief.js'
 import { countRequest } from './BendfallRouterBudget.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { budgetOf, draw, logDecision, remainingMs } from './BendfallRouterContext.js'
+import { budgetOf, draw, logDecision, newsAgeMs, remainingMs } from './BendfallRouterContext.js'
 import { endAnswered, leaveRun } from './BendfallRouterEnd.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
 import { hasNotRun, mayRunAgain, takeRetry } from './BendfallRouterRetry.js'
@@ -49,7 +49,7 @@
   request.runAt = replicaId
   request.runSentAtMs = context.nowMs
   belief.inFlight += 1
-  logDecision(context, request, 'sent', { replica: replicaId, inFlight: belief.inFlight, latencyMs: Math.round(belief.latencyMs), failureShare: round(belief.failureShare), attempt: request.attempt })
+  logDecision(context, request, 'sent', { replica: replicaId, inFlight: belief.inFlight, newsAgeMs: newsAgeMs(context), latencyMs: Math.round(belief.latencyMs), failureShare: round(belief.failureShare), attempt: request.attempt })
   context.effects.push({
     type: 'send_run',
     key: request.key,
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -6,7 +6,7 @@
  */
 import { noteFailure, noteSuccess } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { logDecision, remainingMs } from './BendfallRouterContext.js'
+import { logDecision, newsAgeMs, remainingMs } from './BendfallRouterContext.js'
 import { leavePrefill, leavePrefillSlot } from './BendfallRouterEnd.js'
 import type { PrefillOutcome, SendFailure } from './BendfallRouterEvents.js'
 import { backlogOf, planPrefill, PREFILL_CALL_MS } from './BendfallRouterPrefillPlan.js'
@@ -57,7 +57,7 @@
   belief.prefillTokens += promptTokens
   belief.prefillSinceLoad += promptTokens
   context.effects.push({ type: 'announce_prefill', replicaId, bookingId: request.prefillBookingId, promptTokens })
-  logDecision(context, request, 'prefill_sent', { replica: replicaId, leadMs: Math.round(leadMs), backlogTokens: backlogOf(belief) - promptTokens, attempt: request.attempt })
+  logDecision(context, request, 'prefill_sent', { replica: replicaId, leadMs: Math.round(leadMs), backlogTokens: backlogOf(belief) - promptTokens, newsAgeMs: newsAgeMs(context), attempt: request.attempt })
   context.effects.push({
     type: 'send_prefill',
     key: request.key,
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -75,6 +75,7 @@
   prefill_answered: (context, event) => withAttempt(context, event, (request) =>
     takePrefillAnswer(context, request, event.outcome, handleTtlMs(context.state, request))),
   prefill_queue_answered: (context, event) => withAttempt(context, event, (request) => takeQueueAnswer(context, request, event.outcome)),
+  replicas_current: (context) => { context.state.replicasCurrentAtMs = context.nowMs },
   replicas_changed: (context, event) => {
     for (const replicaId of event.gone) forgetReplica(context, replicaId)
     for (const replica of event.present) learnReplica(context, replica)
--- a/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
@@ -35,12 +35,13 @@
  * @param context - of the event
  * @param replicaId - of the replica
  */
-export function forgetReplica ({ state }: RouterContext, replicaId: string): void {
-  state.replicas.delete(replicaId)
+export function forgetReplica ({ effects, state }: RouterContext, replicaId: string): void {
+  const isKnown = state.replicas.delete(replicaId)
   state.replaced.delete(replicaId)
   for (const [former, by] of state.replaced) {
     if (by === replicaId) state.replaced.delete(former)
   }
+  if (isKnown) effects.push({ type: 'log', decision: 'replica_gone', requestId: '', inputs: { replica: replicaId } })
 }
 
 // False: a later registration has the address.
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -133,6 +133,8 @@
   readonly decisions: RouterDecisions
   config?: RouterConfig
   readonly replicas: Map<string, ReplicaBelief>
+  /** When the key-value service last told all changes of the registrations. */
+  replicasCurrentAtMs: number
   /** Replicas whose address another one has, by id, with the id of that one. */
   readonly replaced: Map<string, string>
   /** Model replicas that this entry uses. */
@@ -177,6 +179,7 @@
     instanceId,
     decisions,
     replicas: new Map(),
+    replicasCurrentAtMs: -Infinity,
     replaced: new Map(),
     subset: new Set(),
     requests: new Map(),
