--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -17,6 +17,8 @@
   /** Events of an answer. */
   readonly events?: number
   readonly eventMs?: number
+  /** Time of an answer without a prompt. */
+  readonly answerMs?: number
 }
 
 /** How a replica fails its next request. */
@@ -61,7 +63,7 @@
  * @returns the stand-in once it listens
  */
 export async function startFleetReplica (options: FleetReplicaOptions): Promise<FleetReplica> {
-  const { eventMs = 5, events = 6, memoryTokens = 20_000, replicaId } = options
+  const { answerMs = 0, eventMs = 5, events = 6, memoryTokens = 20_000, replicaId } = options
   const seen: SeenRequest[] = []
   const runs = new Map<string, Run>()
   const handles = new Set<string>()
@@ -120,7 +122,7 @@
       ...(fault === 'unsigned' ? {} : { 'x-response-stamp': replicaId }),
       'content-type': stage === undefined ? 'text/plain' : 'text/event-stream'
     })
-    if (stage === undefined) response.end(`answer to ${one.requestId}`)
+    if (stage === undefined) setTimeout(() => response.end(`answer to ${one.requestId}`), answerMs)
     else stream(one, promptTokens(request), Number(request.headers['last-event-id'] ?? 0), response, fault === 'break_off')
   }
 
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetProxy.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetProxy.ts
@@ -15,6 +15,8 @@
   readonly address: string
   /** Harms what passes from now on, until called with undefined. */
   readonly harm: (fault: ProxyFault | undefined) => void
+  /** Lets all open connections fall silent for good, without an end; new ones work. */
+  readonly silence: () => void
   /** Resets all open connections. */
   readonly reset: () => void
   readonly close: () => Promise<void>
@@ -31,6 +33,7 @@
 export async function startFleetProxy (target: string): Promise<FleetProxy> {
   const [host = '', port = ''] = target.split(':')
   const sockets = new Set<Socket>()
+  const silenced = new WeakSet<Socket>()
   let fault: ProxyFault | undefined
 
   function pass (from: Socket, to: Socket, isAnswer: boolean): void {
@@ -38,7 +41,7 @@
     let delayedChunks = 0
     from.on('data', (chunk) => {
       // What follows bytes that were lost must not arrive either: the connection stays silent.
-      isLost ||= fault === 'silent' || (fault === 'one_way' && isAnswer)
+      isLost ||= fault === 'silent' || silenced.has(from) || (fault === 'one_way' && isAnswer)
       if (isLost) return
       if (fault !== 'delayed' && delayedChunks === 0) {
         to.write(chunk)
@@ -71,6 +74,7 @@
   return {
     address: `${host}:${(server.address() as AddressInfo).port}`,
     harm: (wanted) => { fault = wanted },
+    silence: () => { for (const socket of sockets) silenced.add(socket) },
     reset,
     close: () => new Promise((resolve) => {
       server.close(() => resolve())
