Bound the time for which an entry acts on old news of registrations

Cause: (1) a removal within 2.4 s of the store's return was dropped, to be found by a full read that waited for the end of a watch of 2 s; (2) a watch on a connection that went silent was given up after 3.2 s, and the read after it could take another silent connection; neither was related to the time that leaving replicas are given. Class: absence of news taken for news of absence; time bounds that don't know of the bound they serve.

Change: a registration that is missing after an outage is told at once; its replica gets no new work while most of its pool is registered, and is gone when the next full read still misses it. That read comes when what lapsed could be back, not after another watch. Watches wait half of the bound of the deployment (drainMs, configApplyMs) and are given up after another 0.3 of it; after a timeout later calls use new connections. The same cause held for the configuration, which is followed in the same way.

The follower's stand-in of the service answered watches later than they asked to wait, which no service does; it ends them with their wait now.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -12,7 +12,7 @@
 import type { PoolIntent, RouterEffect, RouterEffectOf, RouterEvent, RouterState } from 'bendfall-router'
 import type { Dialect } from './BendfallEdgeDialect.js'
 import type { EdgeSettings } from './BendfallEdgeSettings.js'
-import { decisionsOf } from './BendfallEdgeSettings.js'
+import { CONFIG_APPLY_MS, decisionsOf, DRAIN_MS } from './BendfallEdgeSettings.js'
 import { createExchange } from './caller/BendfallEdgeExchange.js'
 import type { Exchange } from './caller/BendfallEdgeExchange.js'
 import { createCallerServer, FIRST_LIMITS } from './caller/BendfallEdgeServer.js'
@@ -109,6 +109,8 @@
     dialect: dialect.directory,
     logger,
     metrics,
+    drainMs: settings.drainMs ?? DRAIN_MS,
+    configApplyMs: settings.configApplyMs ?? CONFIG_APPLY_MS,
     onReplicas: () => { hasReplicas = true },
     onConfig: () => callers.applyLimits(),
     onChange: () => {
--- a/packages/bendfall-edge/src/BendfallEdgeSettings.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeSettings.ts
@@ -27,6 +27,10 @@
   readonly keyValueAddress: string
   /** Seconds from the signal to stop until the process is killed. */
   readonly stopGraceS: number
+  /** Milliseconds from the word that a replica leaves until it must get no new work; absent: {@link DRAIN_MS}. */
+  readonly drainMs?: number
+  /** Milliseconds from an accepted configuration until it must be in force; absent: {@link CONFIG_APPLY_MS}. */
+  readonly configApplyMs?: number
   /** File with the confirmed intent for the pools; without it they stay as they are. */
   readonly poolsFile?: string
   /** Mechanisms that are switched off or changed; those that are absent are as users run them. */
@@ -34,6 +38,13 @@
   readonly log?: { readonly level: LogLevel }
 }
 
+/** The users' smaller deployments ask for these, their larger ones for more. */
+export const DRAIN_MS = 2_000
+export const CONFIG_APPLY_MS = 2_000
+
+/** Shorter bounds would ask the key-value service several times a second. */
+const SHORTEST_BOUND = { type: 'number', minimum: 500 } as const
+
 const ADDRESS = { type: 'string', format: 'ip-port' } as const
 const PORT = { type: 'integer', minimum: 1, maximum: 65_535 } as const
 
@@ -50,6 +61,8 @@
     peerPorts: { type: 'array', items: PORT, minItems: 2, maxItems: 2 },
     keyValueAddress: ADDRESS,
     stopGraceS: { type: 'number', exclusiveMinimum: 0 },
+    drainMs: SHORTEST_BOUND,
+    configApplyMs: SHORTEST_BOUND,
     poolsFile: { type: 'string', minLength: 1 },
     decisions: DECISIONS_SCHEMA,
     log: { type: 'object', properties: { level: { type: 'string', enum: ['error', 'warn', 'info', 'debug'] } } }
--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
@@ -27,20 +27,22 @@
   const seen: string[] = []
   const port = {
     list: () => after(4, script.lists.shift() ?? { type: 'unavailable' as const, detail: 'end of script' }),
-    watch: () => {
+    watch: (_prefix: string, _revision: number, waitMs: number) => {
       const next = script.watches.shift() ?? { afterMs: 100_000, outcome: { type: 'unavailable' as const, detail: 'end of script' } }
-      return after(next.afterMs, next.outcome)
+      // A watch without news ends with its wait.
+      return after(next.outcome.type === 'unchanged' ? Math.min(next.afterMs, waitMs) : next.afterMs, next.outcome)
     }
   } as unknown as KeyValuePort
   const close = followPrefix({
     port,
     clock,
     prefix: 'p/',
+    boundMs: 4_000,
     listener: {
       onPresent: (entries) => { seen.push(`+${entries.map(({ key }) => key).join(',')}`) },
       onGone: (keys) => { seen.push(`-${keys.join(',')}`) },
       onCurrent: () => {},
-      onHeld: (keys) => { seen.push(`held ${keys.join(',')}`) },
+      onMissing: (keys) => { seen.push(`?${keys.join(',')}`) },
       onReachable: (isReachable) => { seen.push(isReachable ? 'back' : 'lost') }
     }
   })
@@ -78,6 +80,29 @@
   scene.close()
 })
 
+test('an entry that is missing after an outage is told missing at once and gone when it could be back', async () => {
+  const scene = createScene({
+    lists: [listed('a', 'b'), listed('b'), listed('b')],
+    watches: [{ afterMs: 50, outcome: { type: 'unavailable', detail: 'down' } }, { afterMs: 2_000, outcome: { type: 'unchanged', storeRevision: 6 } }, { afterMs: 2_000, outcome: { type: 'unchanged', storeRevision: 6 } }]
+  })
+  await scene.run(200)
+  assert.ok(scene.seen.includes('?a'), scene.seen.join(' '))
+  assert.not.ok(scene.seen.includes('-a'), scene.seen.join(' '))
+  await scene.run(2_700)
+  assert.ok(scene.seen.includes('-a'), scene.seen.join(' '))
+  scene.close()
+})
+
+test('an entry that is removed shortly after an outage is told missing at once', async () => {
+  const scene = createScene({
+    lists: [listed('a', 'b'), listed('a', 'b'), listed('b')],
+    watches: [{ afterMs: 50, outcome: { type: 'unavailable', detail: 'down' } }, { afterMs: 300, outcome: deleted('a') }]
+  })
+  await scene.run(600)
+  assert.is(scene.seen.at(-1), '?a')
+  scene.close()
+})
+
 test('an entry that is still missing after an outage is gone', async () => {
   const scene = createScene({
     lists: [listed('a', 'b'), listed('b'), listed('b')],
--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -24,10 +24,14 @@
   /** Called after a change of the replicas. */
   readonly onChange: () => void
   readonly metrics: Metrics
+  /** Time after which a replica that leaves must get no new work. */
+  readonly drainMs: number
+  /** Time after which a configuration must be in force. */
+  readonly configApplyMs: number
 }
 
-/** Longer than this without an answer of the service is worth a line: a watch of two seconds and its way. */
-const BEHIND_MS = 2_300
+/** Of the time after which a change must be known: longer without an answer is worth a line. */
+const BEHIND_SHARE = 0.7
 
 /**
  * Starts to learn.
@@ -36,14 +40,10 @@
  * @returns teardown
  */
 export function registerDirectory (options: DirectoryOptions): Teardown {
-  const { dialect, logger, loop, metrics, onChange, onConfig, onReplicas, port } = options
-  const noteBlind = (prefix: string, blindMs: number): void => {
+  const { configApplyMs, dialect, drainMs, logger, loop, metrics, onChange, onConfig, onReplicas, port } = options
+  const noteBlind = (prefix: string, boundMs: number, blindMs: number): void => {
     metrics.measureMs('bendfall_directory_blind_milliseconds', blindMs, { prefix })
-    if (blindMs > BEHIND_MS) logger.warn('directory_was_behind', { prefix, blindMs: Math.round(blindMs) })
-  }
-  const noteHeld = (keys: readonly string[], returnedMs: number): void => {
-    metrics.count('bendfall_removals_held_total')
-    logger.info('removals_held', { keys: keys.join(','), returnedMs: Math.round(returnedMs) })
+    if (blindMs > boundMs * BEHIND_SHARE) logger.warn('directory_was_behind', { prefix, blindMs: Math.round(blindMs) })
   }
   const onReachable = (isReachable: boolean, detail: string): void => {
     if (isReachable) logger.info('store_regained', { detail })
@@ -71,28 +71,43 @@
     onChange()
   }
 
+  function takeMissing (keys: readonly string[], returnedMs: number): void {
+    metrics.count('bendfall_registrations_missing_total')
+    logger.info('registrations_missing', { keys: keys.join(','), returnedMs: Math.round(returnedMs) })
+    loop.dispatch({ type: 'replicas_missing', replicaIds: keys.map(dialect.readReplicaId) })
+  }
+
   return combineTeardowns([
     followPrefix({
       port,
       clock: loop.clock,
       prefix: dialect.configPrefix,
-      listener: { onPresent: takeConfig, onGone: () => {}, onCurrent: (blindMs) => noteBlind(dialect.configPrefix, blindMs), onHeld: noteHeld, onReachable }
+      boundMs: configApplyMs,
+      listener: {
+        onPresent: takeConfig,
+        // The last configuration stays in force.
+        onGone: () => {},
+        onMissing: () => {},
+        onCurrent: (blindMs) => noteBlind(dialect.configPrefix, configApplyMs, blindMs),
+        onReachable
+      }
     }),
     followPrefix({
       port,
       clock: loop.clock,
       prefix: dialect.replicaPrefix,
+      boundMs: drainMs,
       listener: {
         onPresent: takeReplicas,
         onGone: (keys) => {
           loop.dispatch({ type: 'replicas_changed', present: [], gone: keys.map(dialect.readReplicaId) })
           onChange()
         },
+        onMissing: takeMissing,
         onCurrent: (blindMs) => {
-          noteBlind(dialect.replicaPrefix, blindMs)
+          noteBlind(dialect.replicaPrefix, drainMs, blindMs)
           loop.dispatch({ type: 'replicas_current' })
         },
-        onHeld: noteHeld,
         onReachable: () => {}
       }
     })
--- a/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
@@ -9,8 +9,14 @@
 import { backoffMs, pause } from 'bendfall-node'
 import type { KeyValueEntry, KeyValuePort } from 'bendfall-platform'
 
-/** Wait of one watch: short, so that an outage of the service is seen before the leases of others lapse in it. */
-const WATCH_WAIT_MS = 2_000
+/**
+ * Shares of the time after which a change must be known that one watch waits, and that
+ * its answer may be late. A connection that went silent is noticed after both, and a
+ * read on a new one takes some milliseconds more. With a watch of 2 s and a slack of
+ * 1.2 s, 1,200 calls of a caller reached a replica that had drained for more than 2 s.
+ */
+const WATCH_WAIT_SHARE = 0.5
+const WATCH_SLACK_SHARE = 0.3
 
 /** A watch that answers this much later than asked was held up. */
 const LATE_WATCH_MS = 500
@@ -29,10 +35,13 @@
 export interface FollowListener {
   readonly onPresent: (entries: readonly KeyValueEntry[]) => void
   readonly onGone: (keys: readonly string[]) => void
+  /**
+   * Keys that are missing shortly after an outage, which may have lapsed in it or have
+   * been removed. Each is told present or gone within the time in which lapsed ones return.
+   */
+  readonly onMissing: (keys: readonly string[], returnedMs: number) => void
   /** All changes up to now were told; `blindMs` is the time since they last were. */
   readonly onCurrent: (blindMs: number) => void
-  /** Keys whose removal is not believed yet, since the service was away until `returnedMs` ago. */
-  readonly onHeld: (keys: readonly string[], returnedMs: number) => void
   /** The service was lost or is back. */
   readonly onReachable: (isReachable: boolean, detail: string) => void
 }
@@ -42,6 +51,8 @@
   readonly port: KeyValuePort
   readonly clock: Clock
   readonly prefix: string
+  /** Time after which a change must be known, whatever becomes of connections. */
+  readonly boundMs: number
   readonly listener: FollowListener
 }
 
@@ -52,7 +63,9 @@
  * @returns teardown
  */
 export function followPrefix (options: FollowOptions): Teardown {
-  const { clock, listener, port, prefix } = options
+  const { boundMs, clock, listener, port, prefix } = options
+  const watchWaitMs = boundMs * WATCH_WAIT_SHARE
+  const watchSlackMs = boundMs * WATCH_SLACK_SHARE
   const ended = new AbortController()
   const known = new Set<string>()
   let tried = 0
@@ -89,9 +102,11 @@
 
   function takeGone (keys: readonly string[]): void {
     const gone = keys.filter((key) => known.has(key))
-    // What lapsed in an outage may be back soon: the full read after it decides.
     if (gone.length === 0) return
-    if (isReturning()) return listener.onHeld(gone, clock.nowMs() - returnedAtMs)
+    // What lapsed in an outage may be back soon: the full read after it decides. The
+    // listener hears of it at once, since it may as well have been removed: on a day on
+    // which replicas were replaced after a cut, entries used them for 2.2 s otherwise.
+    if (isReturning()) return listener.onMissing(gone, clock.nowMs() - returnedAtMs)
     for (const key of gone) known.delete(key)
     listener.onGone(gone)
   }
@@ -112,18 +127,20 @@
   }
 
   // A full read is due now and then, and once after an outage when what lapsed in it is back.
-  const isReadDue = (): boolean => {
-    const age = clock.nowMs() - fullReadAtMs
-    return age >= REREAD_MS || (!isReturning() && fullReadAtMs < returnedAtMs + RETURN_MS)
+  function readDueInMs (): number {
+    const regularMs = fullReadAtMs + REREAD_MS - clock.nowMs()
+    const isConfirmed = fullReadAtMs >= returnedAtMs + RETURN_MS
+    return isConfirmed ? regularMs : Math.min(regularMs, returnedAtMs + RETURN_MS - clock.nowMs())
   }
 
   async function watchFrom (first: number): Promise<void> {
-    for (let revision = first; !ended.signal.aborted && !isReadDue();) {
+    for (let revision = first; !ended.signal.aborted && readDueInMs() > 0;) {
       const askedAtMs = clock.nowMs()
-      const outcome = await port.watch(prefix, revision, WATCH_WAIT_MS)
+      const waitMs = Math.ceil(Math.min(watchWaitMs, readDueInMs()))
+      const outcome = await port.watch(prefix, revision, waitMs, watchSlackMs)
       if (outcome.type === 'unavailable') return noteFailure(outcome.detail)
       if (outcome.type === 'history_lost') return
-      noteAnswer(clock.nowMs() - askedAtMs > WATCH_WAIT_MS + LATE_WATCH_MS)
+      noteAnswer(clock.nowMs() - askedAtMs > waitMs + LATE_WATCH_MS)
       revision = outcome.storeRevision
       if (outcome.type === 'changed') {
         takePresent(outcome.entries)
--- a/packages/bendfall-platform/src/BendfallPlatformHttp.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttp.ts
@@ -24,6 +24,11 @@
   readonly connectTimeoutMs?: number
   /** Longest body that is read. */
   readonly maxBodyBytes?: number
+  /**
+   * After a call that got no answer in time, later calls use new connections: those that
+   * are kept may have gone silent together, and each would cost a timeout of its own.
+   */
+  readonly renewsAfterTimeout?: boolean
 }
 
 /** One request. */
@@ -89,20 +94,32 @@
  */
 export function createHttpExchanger (options: HttpOptions): HttpExchanger {
   const connect = { timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS }
-  const kept = new Agent({ connect, pipelining: 1 })
+  const makeKept = (): Agent => new Agent({ connect, pipelining: 1 })
+  const agents = new Set<Agent>()
+  let kept = makeKept()
+  agents.add(kept)
   const fresh = new Agent({ connect, pipelining: 0 })
   const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
 
+  // Calls under way end on the former connections, which are closed after them.
+  function renew (former: Agent): void {
+    if (former !== kept) return
+    kept = makeKept()
+    agents.add(kept)
+    former.close().then(() => agents.delete(former), () => agents.delete(former))
+  }
+
   async function exchange<T> (request: HttpRequest, reader: AnswerReader<T>): Promise<Result<T, HttpFailure>> {
     const attempt = startAttempt(request)
+    const agent = request.freshConnection === true ? fresh : kept
     try {
-      const agent = request.freshConnection === true ? fresh : kept
       await readOnce(agent, toUndici(options.origin, request), attempt, reader)
       return Ok(reader.end())
     } catch (error) {
       return Err({ kind: reader.isTooLarge() ? 'too_large' : attempt.kind, reached: attempt.state.started, detail: describe(error) })
     } finally {
       attempt.end()
+      if (attempt.kind === 'timeout' && options.renewsAfterTimeout === true) renew(agent)
     }
   }
 
@@ -110,7 +127,7 @@
     send: (request) => exchange(request, createAnswerReader(maxBodyBytes)),
     sendForLines: (request, onLine) => exchange(request, createLineReader(maxBodyBytes, onLine)),
     close: async () => {
-      await Promise.all([kept.destroy(), fresh.destroy()])
+      await Promise.all([...agents, fresh].map((agent) => agent.destroy()))
     }
   }
 }
--- a/packages/bendfall-platform/src/BendfallPlatformKeyValue.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformKeyValue.ts
@@ -68,8 +68,11 @@
   readonly grantLease: (ttlMs: number) => Promise<LeaseOutcome>
   readonly renewLease: (leaseId: string) => Promise<LeaseOutcome>
   readonly revokeLease: (leaseId: string) => Promise<LeaseOutcome>
-  /** Waits up to `waitMs` for a change after `sinceRevision`. */
-  readonly watch: (prefix: string, sinceRevision: number, waitMs: number) => Promise<WatchOutcome>
+  /**
+   * Waits up to `waitMs` for a change after `sinceRevision`; an answer that is later than
+   * that by `slackMs` is given up, since its connection may have gone silent.
+   */
+  readonly watch: (prefix: string, sinceRevision: number, waitMs: number, slackMs?: number) => Promise<WatchOutcome>
   /** Ends pending calls and frees connections. */
   readonly close: () => Promise<void>
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
@@ -7,7 +7,7 @@
 import type { Replica, ReplicaStage } from '../BendfallRouterTypes.js'
 import type { SendFailure } from './BendfallRouterEvents.js'
 import type { RouterContext } from './BendfallRouterContext.js'
-import type { ReplicaBelief, RequestState } from './BendfallRouterState.js'
+import type { ReplicaBelief, RequestState, RouterState } from './BendfallRouterState.js'
 import { isUsed } from './BendfallRouterSubset.js'
 
 /** Weight of the newest answer in a replica's averages: about the last ten count. */
@@ -22,6 +22,9 @@
 /** Failures in a row from which a replica is left alone. */
 const FAILURES_TO_SUSPECT = 2
 
+/** Share of a pool from which missing registrations count as lapsed in an outage: more at once than operators take away. */
+const LAPSED_SHARE = 0.5
+
 /** Time for which a ledger that did not answer is not asked. */
 export const LEDGER_RETRY_MS = 1_000
 
@@ -34,6 +37,7 @@
 export function createBelief (replica: Replica): ReplicaBelief {
   return {
     replica,
+    isMissing: false,
     loadAtMs: -Infinity,
     inFlight: 0,
     bookedSinceLoad: 0,
@@ -59,6 +63,25 @@
   return replica.stage === 'plain' ? 'plain' : load?.stage ?? replica.stage
 }
 
+/**
+ * Tells whether a replica leaves, so that it gets no new work. One whose registration is
+ * missing after an outage counts as leaving while most of its pool is registered: a few
+ * that are missing left, many lapsed in the outage and will be back.
+ *
+ * @param state - of the entry
+ * @param belief - about the replica
+ * @returns true when it gets no new work
+ */
+export function isLeaving (state: RouterState, belief: ReplicaBelief): boolean {
+  return belief.replica.isDraining || (belief.isMissing && !hasLapsed(state, belief))
+}
+
+function hasLapsed ({ replicas }: RouterState, { replica }: ReplicaBelief): boolean {
+  const pool = [...replicas.values()].filter((one) => one.replica.service === replica.service && one.replica.stage === replica.stage && !one.replica.isDraining)
+  const missing = pool.filter(({ isMissing }) => isMissing)
+  return missing.length > pool.length * LAPSED_SHARE
+}
+
 /**
  * Replicas that a request may be sent to. Those under suspicion count only
  * when no other is left.
@@ -70,7 +93,7 @@
  */
 export function usableReplicas ({ nowMs, state }: RouterContext, request: RequestState, stage: ReplicaStage): ReplicaBelief[] {
   const open = [...state.replicas.values()].filter((belief) =>
-    belief.replica.service === request.service && !belief.replica.isDraining && isUsed(state, belief.replica) &&
+    belief.replica.service === request.service && !isLeaving(state, belief) && isUsed(state, belief.replica) &&
     stageOf(belief) === stage && !request.excluded.has(belief.replica.replicaId))
   if (state.decisions.suspicion === 'off') return open
   const trusted = open.filter((belief) => belief.suspectUntilMs <= nowMs && belief.load?.isHealthy !== false)
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -53,6 +53,8 @@
 export type RouterEvent = { readonly atMs: number } & (
   | { readonly type: 'config_learned', readonly config: RouterConfig }
   | { readonly type: 'replicas_changed', readonly present: readonly Replica[], readonly gone: readonly string[] }
+  /** Registrations that are missing after an outage: they lapsed in it or were removed. */
+  | { readonly type: 'replicas_missing', readonly replicaIds: readonly string[] }
   /** The service answered: all changes of registrations up to then are known. */
   | { readonly type: 'replicas_current' }
   | { readonly type: 'load_learned', readonly load: ReplicaLoad }
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -6,7 +6,7 @@
  */
 import { balancePools } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolMember, PoolWork } from '../pools/BendfallRouterPoolBalance.js'
-import { stageOf } from './BendfallRouterBelief.js'
+import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
@@ -73,13 +73,13 @@
   context.effects.push({ type: 'log', decision: 'stage_ordered', requestId: '', inputs: { replica: replicaId, stage, fence, prefillWork: round(work.prefill), decodeWork: round(work.decode) } })
 }
 
-function toMember ({ nowMs }: RouterContext, belief: ReplicaBelief): PoolMember {
+function toMember ({ nowMs, state }: RouterContext, belief: ReplicaBelief): PoolMember {
   const { load, replica, suspectUntilMs } = belief
   return {
     replicaId: replica.replicaId,
     availabilityZone: replica.availabilityZone,
     stage: stageOf(belief),
-    isServing: load?.isHealthy === true && !replica.isDraining && suspectUntilMs <= nowMs
+    isServing: load?.isHealthy === true && !isLeaving(state, belief) && suspectUntilMs <= nowMs
   }
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -14,7 +14,7 @@
 import { startPrefill, takePrefillAnswer, takePrefillFailure } from './BendfallRouterPrefill.js'
 import { startQueue, takeQueueAnswer } from './BendfallRouterPrefillQueue.js'
 import { startConfirm, takeConfirmAnswer } from './BendfallRouterConfirm.js'
-import { forgetReplica, learnReplica } from './BendfallRouterRegistrations.js'
+import { forgetReplica, learnReplica, noteMissing } from './BendfallRouterRegistrations.js'
 import { learnReadSpeed } from './BendfallRouterReading.js'
 import { startReserve, takeReserveAnswer } from './BendfallRouterReserve.js'
 import { startRun, takeRunAnswer, takeRunFailure, takeRunTimeout } from './BendfallRouterRun.js'
@@ -75,6 +75,7 @@
   prefill_answered: (context, event) => withAttempt(context, event, (request) =>
     takePrefillAnswer(context, request, event.outcome, handleTtlMs(context.state, request))),
   prefill_queue_answered: (context, event) => withAttempt(context, event, (request) => takeQueueAnswer(context, request, event.outcome)),
+  replicas_missing: (context, event) => noteMissing(context, event.replicaIds),
   replicas_current: (context) => { context.state.replicasCurrentAtMs = context.nowMs },
   replicas_changed: (context, event) => {
     for (const replicaId of event.gone) forgetReplica(context, replicaId)
--- a/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Replica } from '../BendfallRouterTypes.js'
-import { createBelief } from './BendfallRouterBelief.js'
+import { createBelief, isLeaving } from './BendfallRouterBelief.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 
 /**
@@ -24,6 +24,7 @@
   const former = known?.replica
   if (known === undefined) state.replicas.set(replicaId, createBelief(replica))
   else known.replica = replica
+  if (known !== undefined) known.isMissing = false
   if (former?.isDraining === replica.isDraining && former.stage === replica.stage) return
   effects.push({ type: 'log', decision: 'replica_learned', requestId: '', inputs: { replica: replicaId, service: replica.service, stage: replica.stage, isDraining: replica.isDraining } })
 }
@@ -44,6 +45,21 @@
   if (isKnown) effects.push({ type: 'log', decision: 'replica_gone', requestId: '', inputs: { replica: replicaId } })
 }
 
+/**
+ * Notes registrations that are missing after an outage, until they are told again or gone.
+ *
+ * @param context - of the event
+ * @param replicaIds - of the replicas
+ */
+export function noteMissing ({ effects, state }: RouterContext, replicaIds: readonly string[]): void {
+  for (const replicaId of replicaIds) {
+    const belief = state.replicas.get(replicaId)
+    if (belief === undefined || belief.isMissing) continue
+    belief.isMissing = true
+    effects.push({ type: 'log', decision: 'replica_missing', requestId: '', inputs: { replica: replicaId, isUsed: !isLeaving(state, belief) } })
+  }
+}
+
 // False: a later registration has the address.
 function takeAddress (context: RouterContext, replica: Replica): boolean {
   const { state } = context
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { noteFailure, noteSuccess } from './BendfallRouterBelief.js'
+import { isLeaving, noteFailure, noteSuccess } from './BendfallRouterBelief.js'
 import { countRequest } from './BendfallRouterBudget.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { budgetOf, logDecision, newsAgeMs, remainingMs } from './BendfallRouterContext.js'
@@ -34,7 +34,7 @@
  */
 export function startRun (context: RouterContext, request: RequestState): NextStep {
   const belief = context.state.replicas.get(request.reservedAt ?? '')
-  if (belief === undefined || belief.replica.isDraining) {
+  if (belief === undefined || isLeaving(context.state, belief)) {
     leaveReservation(context, request)
     return { type: 'reserve' }
   }
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -101,6 +101,8 @@
 /** What this process believes of a replica. */
 export interface ReplicaBelief {
   replica: Replica
+  /** Whether its registration is missing after an outage: it lapsed in it, or the replica leaves. */
+  isMissing: boolean
   load?: ReplicaLoad
   loadAtMs: number
   /** Requests of this process that run there. */
