Tell entries of other writers and restarts under one id from replicas

Cause: a registration that could not be read left the replica known before in use; an address that is none was taken, and the client of HTTP throws on it; an entry of an unknown service, state or stage took the address of a replica; an id alone was taken for the process behind it, so that bookings, requests in flight, results of prefills, suspicion and orders of a process that had ended counted for its successor, and a late word of the former one overwrote it.

Sends to a process that ended fail at once; only what may run again is sent again. Older writes and older lives change nothing.

--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -6,11 +6,14 @@
 import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { combineTeardowns } from 'bendfall-node'
 import type { KeyValueEntry, KeyValuePort } from 'bendfall-platform'
-import type { RouterEffect, RouterEvent } from 'bendfall-router'
+import type { Replica, RouterEffect, RouterEvent } from 'bendfall-router'
 import type { DirectoryDialect } from '../BendfallEdgeDialect.js'
 import type { Metrics } from '../observe/BendfallEdgeMetrics.js'
 import { followPrefix } from './BendfallEdgeFollow.js'
 
+/** Entries that can't be read of which one line each is logged; the counter goes on. */
+const MOST_UNREADABLE_NOTED = 200
+
 /** What the directory needs. */
 export interface DirectoryOptions {
   readonly loop: UpdateLoop<RouterEvent, RouterEffect>
@@ -45,6 +48,7 @@
     metrics.measureMs('bendfall_directory_blind_milliseconds', blindMs, { prefix })
     if (blindMs > boundMs * BEHIND_SHARE) logger.warn('directory_was_behind', { prefix, blindMs: Math.round(blindMs) })
   }
+  const unreadable = new Map<string, string>()
   const onReachable = (isReachable: boolean, detail: string): void => {
     if (isReachable) logger.info('store_regained', { detail })
     else logger.warn('store_lost', { detail })
@@ -59,18 +63,33 @@
     onConfig()
   }
 
+  // An entry that can't be read names no replica: one known before under its id has left.
   function takeReplicas (entries: readonly KeyValueEntry[]): void {
-    const present = entries.flatMap((entry) => {
+    const present: Replica[] = []
+    const gone: string[] = []
+    for (const entry of entries) {
       const replica = dialect.readReplica(entry)
-      if (replica.isOk()) return [replica.value]
-      logger.error('replica_unreadable', { key: entry.key, revision: entry.revision, detail: replica.error })
-      return []
-    })
-    loop.dispatch({ type: 'replicas_changed', present, gone: [] })
+      if (replica.isOk()) present.push(replica.value)
+      else gone.push(dialect.readReplicaId(entry.key))
+      noteReadable(entry, replica.isOk() ? undefined : replica.error)
+    }
+    loop.dispatch({ type: 'replicas_changed', present, gone })
     onReplicas()
     onChange()
   }
 
+  // Written again and again, the same entry gives one line.
+  function noteReadable ({ key, revision }: KeyValueEntry, detail: string | undefined): void {
+    if (detail === undefined) {
+      unreadable.delete(key)
+      return
+    }
+    metrics.count('bendfall_registrations_unreadable_total')
+    if (unreadable.get(key) === detail || unreadable.size >= MOST_UNREADABLE_NOTED) return
+    unreadable.set(key, detail)
+    logger.warn('replica_unreadable', { key, revision, detail })
+  }
+
   function takeMissing (keys: readonly string[], returnedMs: number): void {
     metrics.count('bendfall_registrations_missing_total')
     logger.info('registrations_missing', { keys: keys.join(','), returnedMs: Math.round(returnedMs) })
@@ -100,6 +119,7 @@
       listener: {
         onPresent: takeReplicas,
         onGone: (keys) => {
+          for (const key of keys) unreadable.delete(key)
           loop.dispatch({ type: 'replicas_changed', present: [], gone: keys.map(dialect.readReplicaId) })
           onChange()
         },
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -38,6 +38,8 @@
 interface Send {
   readonly call: ReplicaCall
   readonly cancelTimeout: Teardown
+  /** Ends the send as one that may have run. */
+  readonly fail: () => void
   held?: HeldAnswer
 }
 
@@ -66,7 +68,7 @@
     const request = { method, path: url, headers: [...exchange.caller.forwardHeaders, ...headers], body: exchange.body }
     const cancelTimeout = scheduleTimeout(loop.clock, tryTimeoutMs, () => loop.dispatch({ type: 'try_timed_out', key, attempt }))
     const call = startReplicaCall(poolOf(address), request, listener)
-    sends.set(key, { call, cancelTimeout })
+    sends.set(key, { call, cancelTimeout, fail: () => listener.onFail(new Error('the process of the replica ended'), true) })
   }
 
   function sendRun (effect: SendRun): void {
@@ -88,6 +90,11 @@
     () => { for (const key of [...sends.keys()]) abort(key) },
     loop.registerEffect('send_run', sendRun),
     loop.registerEffect('send_prefill', sendPrefill),
+    loop.registerEffect('fail_send', ({ key }) => {
+      const send = sends.get(key)
+      send?.call.abort()
+      send?.fail()
+    }),
     loop.registerEffect('abort_send', ({ key }) => abort(key)),
     loop.registerEffect('deliver', ({ key }) => {
       const held = sends.get(key)?.held
--- /dev/null
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesForeign.test.ts
@@ -0,0 +1,73 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { startFleetReplica } from '../../fleet/BendfallFakesFleetReplica.js'
+import { startFleetProxy } from '../../fleet/soak/BendfallFakesFleetProxy.js'
+import { call, CALLERS, callFor, inScene, registrationOf } from './EntryScene.js'
+import type { Scene } from './EntryScene.js'
+
+/** Until the entry has heard of a write. */
+const HEARD_MS = 100
+
+/** What another writer may leave in place of a registration; `whole` is a sound one. */
+const FOREIGN: ReadonlyArray<readonly [string, (whole: object) => unknown]> = [
+  ['text', () => 'no registration'],
+  ['a list', () => [1, 2]],
+  ['nothing', () => null],
+  ['no address', (whole) => ({ ...whole, address: undefined })],
+  ['an address that is none', (whole) => ({ ...whole, address: 'not an address' })],
+  ['an empty address', (whole) => ({ ...whole, address: '' })],
+  ['a port beyond the last', (whole) => ({ ...whole, address: '127.0.8.12:99999' })],
+  ['a path behind the port', (whole) => ({ ...whole, address: '127.0.8.12:80/x' })],
+  ['a state that nobody knows', (whole) => ({ ...whole, state: 'asleep' })],
+  ['a stage that nobody knows', (whole) => ({ ...whole, stage: 'both' })],
+  ['a service that nobody knows', (whole) => ({ ...whole, service: 'other' })],
+  ['slots of text', (whole) => ({ ...whole, slots: 'many' })],
+  ['a start that is no whole number', (whole) => ({ ...whole, born: 0.5 })]
+]
+
+async function answeredShare (scene: Scene): Promise<number> {
+  const { answered, asked } = await callFor(scene, 200)
+  return answered / asked
+}
+
+test('an entry of another writer names no replica, and the others hold', () => inScene(async (scene) => {
+  for (const [what, make] of FOREIGN) {
+    scene.store.put('servers/i-foreign', make(registrationOf(scene.leaves)))
+    await sleep(HEARD_MS)
+    assert.is(scene.entry.state().replicas.has('i-foreign'), false, what)
+    assert.equal([...scene.entry.state().replicas.keys()].sort(), ['i-leaves', 'i-stays'], what)
+    assert.is(await answeredShare(scene), 1, what)
+  }
+}))
+
+test('a registration that can no longer be read names no replica any more', () => inScene(async (scene) => {
+  for (const [what, make] of FOREIGN) {
+    scene.store.put('servers/i-leaves', registrationOf(scene.leaves))
+    await sleep(HEARD_MS)
+    assert.is(scene.entry.state().replicas.has('i-leaves'), true, what)
+    scene.store.put('servers/i-leaves', make(registrationOf(scene.leaves)))
+    await sleep(HEARD_MS)
+    assert.is(scene.entry.state().replicas.has('i-leaves'), false, what)
+  }
+}))
+
+test('a call that hangs at a replica which starts again under its id is answered by a process that lives', () => inScene(async (scene) => {
+  const hidden = await startFleetProxy(scene.leaves.address)
+  scene.store.put('servers/i-leaves', registrationOf(hidden, { born: 1_000 }))
+  scene.store.remove('servers/i-stays')
+  await sleep(HEARD_MS)
+  hidden.harm('silent')
+  const answer = call({ ...CALLERS, path: '/r/1', id: 'hangs' })
+  await sleep(HEARD_MS)
+  const successor = await startFleetReplica({ host: '127.0.8.13', replicaId: 'i-leaves' })
+  scene.store.put('servers/i-leaves', registrationOf(successor, { born: 2_000 }))
+  const startedMs = performance.now()
+  assert.is(await answer, 200)
+  // Well before the time after which a try is given up.
+  assert.ok(performance.now() - startedMs < 100, `${performance.now() - startedMs} ms`)
+  await hidden.close()
+  await successor.close()
+}))
+
+test.run()
--- a/packages/bendfall-router/src/BendfallRouterTypes.ts
+++ b/packages/bendfall-router/src/BendfallRouterTypes.ts
@@ -82,6 +82,12 @@
   readonly replicaId: string
   /** Grows from one registration to the next, so that of two at one address the later is known. */
   readonly registeredAtRevision: number
+  /** Grows with each write of the registration. */
+  readonly revision: number
+  /** Start of the replica's process, Unix time: its life. Absent where the platform does not tell it. */
+  readonly bornAtMs?: number
+  /** Heartbeats since the start of the process. */
+  readonly heartbeats: number
   readonly service: string
   /** `ip:port`. */
   readonly address: string
--- a/packages/bendfall-router/src/__tests__/unit/RouterWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/RouterWorld.ts
@@ -53,7 +53,7 @@
 
 /** A replica; its id is also its host. */
 export function replicaOf (replicaId: string, stage: ReplicaStage, change: Partial<Replica> = {}): Replica {
-  return { replicaId, registeredAtRevision: 1, service: stage === 'plain' ? 'app' : 'llm', address: `${replicaId}:80`, availabilityZone: 'a', slots: 6, isDraining: false, stage, ...change }
+  return { replicaId, registeredAtRevision: 1, revision: 1, heartbeats: 1, service: stage === 'plain' ? 'app' : 'llm', address: `${replicaId}:80`, availabilityZone: 'a', slots: 6, isDraining: false, stage, ...change }
 }
 
 /** Load of a replica with the same room at all horizons. */
--- a/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
@@ -30,6 +30,8 @@
   | { readonly type: 'order_stage', readonly replicaId: string, readonly address: string, readonly stage: ReplicaStage, readonly fence: number }
   /** Sends the request to run; with a source, from the result of a prefill. */
   | { readonly type: 'send_run', readonly key: string, readonly attempt: number, readonly replicaId: string, readonly address: string, readonly deadlineMs: number, readonly source?: string, readonly lastEventId?: string, readonly isStream: boolean, readonly tryTimeoutMs?: number }
+  /** What was sent for the request has no answer any more: its replica's process ended. */
+  | { readonly type: 'fail_send', readonly key: string }
   /** Gives up what was sent for the request, whatever it is. */
   | { readonly type: 'abort_send', readonly key: string }
   /** Passes the replica's answer, which is held whole, to the caller. */
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -47,6 +47,7 @@
   request.runs += 1
   request.sends += 1
   request.runAt = replicaId
+  request.sentTo = { replicaId, bornAtMs: belief.replica.bornAtMs }
   request.runSentAtMs = context.nowMs
   belief.inFlight += 1
   logDecision(context, request, 'sent', { replica: replicaId, inFlight: belief.inFlight, newsAgeMs: newsAgeMs(context), latencyMs: Math.round(belief.latencyMs), failureShare: round(belief.failureShare), attempt: request.attempt })
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -49,6 +49,7 @@
   request.attempt += 1
   request.sends += 1
   request.prefillAt = replicaId
+  request.sentTo = { replicaId, bornAtMs: belief.replica.bornAtMs }
   request.prefillSentAtMs = context.nowMs
   const promptTokens = request.prompt?.promptTokens ?? 0
   request.isPrefillAlone = backlogOf(belief) === 0
@@ -88,7 +89,7 @@
     learnSpeed(context, request, tookMs)
     learnPace(belief, tookMs, request.prefillLeadMs)
     noteSuccess(belief)
-    request.handle = { replicaId, address: belief.replica.address, handle: outcome.handle, expiresAtMs: context.nowMs + handleTtlMs }
+    request.handle = { replicaId, bornAtMs: belief.replica.bornAtMs, address: belief.replica.address, handle: outcome.handle, expiresAtMs: context.nowMs + handleTtlMs }
   }
   leavePrefill(context, request)
   logDecision(context, request, 'prefill_done', { replica: replicaId, tookMs: Math.round(tookMs) })
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -14,7 +14,7 @@
 import { startPrefill, takePrefillAnswer, takePrefillFailure } from './BendfallRouterPrefill.js'
 import { startQueue, takeQueueAnswer } from './BendfallRouterPrefillQueue.js'
 import { startConfirm, takeConfirmAnswer } from './BendfallRouterConfirm.js'
-import { forgetReplica, learnReplica, noteMissing } from './BendfallRouterRegistrations.js'
+import { forgetReplica, learnForeign, learnReplica, noteMissing } from './BendfallRouterRegistrations.js'
 import { learnReadSpeed } from './BendfallRouterReading.js'
 import { startReserve, takeReserveAnswer } from './BendfallRouterReserve.js'
 import { startRun, takeRunAnswer, takeRunFailure, takeRunTimeout } from './BendfallRouterRun.js'
@@ -145,7 +145,11 @@
   const former = state.config?.version
   if (former === config.version) return
   const isNewer = former === undefined || config.version > former
-  if (isNewer) state.config = config
+  if (isNewer) {
+    state.config = config
+    learnForeign(context)
+    chooseSubset(state)
+  }
   context.effects.push({ type: 'log', decision: isNewer ? 'config_in_force' : 'config_ignored', requestId: '', inputs: { version: config.version, former, routes: config.routes.length } })
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
@@ -7,26 +7,80 @@
 import type { Replica } from '../BendfallRouterTypes.js'
 import { createBelief, isLeaving } from './BendfallRouterBelief.js'
 import type { RouterContext } from './BendfallRouterContext.js'
+import { endFormerLife } from './BendfallRouterRestarts.js'
+import type { RouterState } from './BendfallRouterState.js'
 
 /**
  * Takes a registration. Of those at one address only the latest counts; of 43
  * failed sends of a day with crashes 40 went to the registration of a former
- * replica.
+ * replica. Of those under one id the latest life counts, and the latest write of it.
  *
  * @param context - of the event
  * @param replica - as registered
  */
 export function learnReplica (context: RouterContext, replica: Replica): void {
-  const { effects, state } = context
+  const { state } = context
   const { replicaId } = replica
   const known = state.replicas.get(replicaId)
-  if (known === undefined && !takeAddress(context, replica)) return
-  const former = known?.replica
-  if (known === undefined) state.replicas.set(replicaId, createBelief(replica))
-  else known.replica = replica
-  if (known !== undefined) known.isMissing = false
-  if (former?.isDraining === replica.isDraining && former.stage === replica.stage) return
-  effects.push({ type: 'log', decision: 'replica_learned', requestId: '', inputs: { replica: replicaId, service: replica.service, stage: replica.stage, isDraining: replica.isDraining } })
+  if (known !== undefined && isOutdated(replica, known.replica)) return
+  if (isForeign(state, replica)) return noteForeign(context, replica)
+  state.foreign.delete(replicaId)
+  if (known !== undefined && isSameLife(replica, known.replica)) {
+    const { isDraining, stage } = known.replica
+    known.replica = replica
+    known.isMissing = false
+    if (isDraining !== replica.isDraining || stage !== replica.stage) logLearned(context, replica)
+    return
+  }
+  endFormerLife(context, replica)
+  if (!takeAddress(context, replica)) return
+  state.replicas.set(replicaId, createBelief(replica))
+  logLearned(context, replica)
+}
+
+/**
+ * Takes the registrations again whose service the configuration did not have.
+ *
+ * @param context - of the event
+ */
+export function learnForeign (context: RouterContext): void {
+  for (const replica of [...context.state.foreign.values()]) learnReplica(context, replica)
+}
+
+function logLearned ({ effects }: RouterContext, { bornAtMs, isDraining, replicaId, revision, service, stage }: Replica): void {
+  effects.push({ type: 'log', decision: 'replica_learned', requestId: '', inputs: { replica: replicaId, service, stage, isDraining, revision, bornAtMs } })
+}
+
+// Watches and full reads overlap, and a process that has ended may still be told of.
+function isOutdated (replica: Replica, known: Replica): boolean {
+  if (replica.bornAtMs !== undefined && known.bornAtMs !== undefined && replica.bornAtMs !== known.bornAtMs) return replica.bornAtMs < known.bornAtMs
+  return replica.revision < known.revision
+}
+
+// Where the platform does not tell the start of a process, a registration that was made
+// anew and counts its heartbeats from the start again tells it, as does a new address. One
+// that only lapsed in an outage goes on counting.
+function isSameLife (replica: Replica, known: Replica): boolean {
+  if (replica.address !== known.address) return false
+  if (replica.bornAtMs !== undefined && known.bornAtMs !== undefined) return replica.bornAtMs === known.bornAtMs
+  return replica.registeredAtRevision === known.registeredAtRevision || replica.heartbeats >= known.heartbeats
+}
+
+// A service that the configuration does not have, or a model without a pool: another
+// writer's entry. It must not take the address of a replica.
+function isForeign ({ config }: RouterState, { service, stage }: Replica): boolean {
+  if (config === undefined) return false
+  const found = config.services.find(({ name }) => name === service)
+  return found === undefined || (found.engine !== undefined) !== (stage !== 'plain')
+}
+
+function noteForeign ({ effects, state }: RouterContext, replica: Replica): void {
+  state.replicas.delete(replica.replicaId)
+  const isNoted = state.foreign.has(replica.replicaId)
+  state.foreign.set(replica.replicaId, replica)
+  if (isNoted) return
+  const { replicaId, service, stage } = replica
+  effects.push({ type: 'log', decision: 'replica_foreign', requestId: '', inputs: { replica: replicaId, service, stage } })
 }
 
 /**
@@ -38,6 +92,7 @@
  */
 export function forgetReplica ({ effects, state }: RouterContext, replicaId: string): void {
   const isKnown = state.replicas.delete(replicaId)
+  state.foreign.delete(replicaId)
   state.replaced.delete(replicaId)
   for (const [former, by] of state.replaced) {
     if (by === replicaId) state.replaced.delete(former)
@@ -65,12 +120,17 @@
   const { state } = context
   const holder = [...state.replicas.values()].find((belief) => belief.replica.address === replica.address)?.replica
   if (holder === undefined || state.decisions.addresses === 'all') return true
-  const isLater = replica.registeredAtRevision > holder.registeredAtRevision
+  const isLater = isLaterLife(replica, holder)
   if (isLater) replace(context, holder, replica)
   else replace(context, replica, holder)
   return isLater
 }
 
+function isLaterLife (one: Replica, other: Replica): boolean {
+  if (one.bornAtMs !== undefined && other.bornAtMs !== undefined && one.bornAtMs !== other.bornAtMs) return one.bornAtMs > other.bornAtMs
+  return one.registeredAtRevision > other.registeredAtRevision
+}
+
 function replace ({ effects, state }: RouterContext, former: Replica, by: Replica): void {
   state.replicas.delete(former.replicaId)
   state.replaced.delete(by.replicaId)
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -46,6 +46,7 @@
   request.runs += 1
   request.sends += 1
   request.runAt = replicaId
+  request.sentTo = { replicaId, bornAtMs: belief.replica.bornAtMs }
   request.runSentAtMs = context.nowMs
   request.handle = undefined
   request.triedHandle = handle
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -17,6 +17,8 @@
 /** Result of a prefill, kept at its replica for a short time. */
 export interface PrefillResult {
   readonly replicaId: string
+  /** Start of the process that holds it; see {@link Replica}. */
+  readonly bornAtMs?: number
   /** `ip:port` of the replica that holds it. */
   readonly address: string
   readonly handle: string
@@ -85,6 +87,8 @@
   handle?: PrefillResult
   /** Result that went with the last send. */
   triedHandle?: PrefillResult
+  /** Process of a replica that the last send went to. */
+  sentTo?: { readonly replicaId: string, readonly bornAtMs?: number }
   /** Replica that the request was sent to run at. */
   runAt?: string
   runSentAtMs?: number
@@ -139,6 +143,8 @@
   replicasCurrentAtMs: number
   /** Replicas whose address another one has, by id, with the id of that one. */
   readonly replaced: Map<string, string>
+  /** Registrations that name no replica of a service of the configuration, by id. */
+  readonly foreign: Map<string, Replica>
   /** Model replicas that this entry uses. */
   readonly subset: Set<string>
   readonly requests: Map<string, RequestState>
@@ -183,6 +189,7 @@
     replicas: new Map(),
     replicasCurrentAtMs: -Infinity,
     replaced: new Map(),
+    foreign: new Map(),
     subset: new Set(),
     requests: new Map(),
     longestWaitMs: new Map(),
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedgerReport.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerReport.ts
@@ -19,6 +19,37 @@
 /** Growth of the other requests until a request arrives: a block for each of a dozen runs. */
 const GROWTH_TOKENS = 192
 
+/** Which run of the replica's process a report tells of, against that of the last report. */
+export type ReportLife = 'same' | 'new' | 'former'
+
+/**
+ * Compares the life of a report with that of the last one.
+ *
+ * @param state - of the ledger
+ * @param report - of the replica
+ * @returns `same` where the platform does not tell the start of replicas
+ */
+export function lifeOf (state: LedgerState, { bornAtMs }: ReplicaReport): ReportLife {
+  const knownAtMs = state.report?.bornAtMs
+  if (knownAtMs === undefined || bornAtMs === undefined || knownAtMs === bornAtMs) return 'same'
+  return bornAtMs > knownAtMs ? 'new' : 'former'
+}
+
+/**
+ * Forgets what was booked with a process that has ended: a replica that starts again
+ * under its id holds nothing of before. Those that wait go on waiting for the new one.
+ *
+ * @param state - changed in place
+ * @param effects - refusals of confirmations are added
+ */
+export function forgetFormerLife (state: LedgerState, effects: LedgerEffect[]): void {
+  for (const { bookingId, confirm } of state.bookings.values()) {
+    if (confirm !== undefined) effects.push({ type: 'confirmed', bookingId, isFree: false })
+  }
+  state.bookings.clear()
+  state.lastRuns = new Map()
+}
+
 /**
  * Takes a report.
  *
