End a process in time though its peers' connections are silent

Cause: a closing HTTP/2 session waits for its peer to end the connection as well, also when it is destroyed; on a connection that went silent that end never comes, so the listener never closed and the sidecar was killed at the end of its grace time.

Change: the listener destroys the sockets after its second of grace.

A test of the connections that are replaced after a timeout comes with it.

--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetProxy.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetProxy.ts
@@ -55,11 +55,15 @@
       }, DELAY_MS)
     })
     // Bytes that are delayed go before the end.
-    from.on('end', () => setTimeout(() => to.end(), DELAY_MS))
-    from.on('error', () => to.destroy())
+    from.on('end', () => {
+      if (!silenced.has(from)) setTimeout(() => to.end(), DELAY_MS)
+    })
+    from.on('error', () => {
+      if (!silenced.has(from)) to.destroy()
+    })
     from.on('close', () => {
       sockets.delete(from)
-      setTimeout(() => to.destroy(), DELAY_MS)
+      if (!silenced.has(from)) setTimeout(() => to.destroy(), DELAY_MS)
     })
   }
 
--- a/packages/bendfall-node/src/transport/BendfallNodePeerListener.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodePeerListener.ts
@@ -5,7 +5,7 @@
  */
 import { createServer } from 'node:http2'
 import type { Http2ServerRequest, Http2ServerResponse, IncomingHttpHeaders, ServerHttp2Session, ServerHttp2Stream } from 'node:http2'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { Teardown } from '../runtime/BendfallNodeTeardown.js'
@@ -60,6 +60,11 @@
   const listeners = new Set<SessionListener>()
   const server = createServer({ settings: { maxConcurrentStreams: MAX_STREAMS_PER_PEER } }, createHandler(register, listeners))
   const sessions = new Set<ServerHttp2Session>()
+  const sockets = new Set<Socket>()
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
   server.on('session', (session) => {
     sessions.add(session)
     for (const listener of listeners) listener(session)
@@ -73,7 +78,10 @@
   return {
     address: formatAddress(server.address() as AddressInfo),
     close: () => new Promise<void>((resolve) => {
-      const cut = setTimeout(() => { for (const session of sessions) session.destroy() }, CLOSE_GRACE_MS)
+      // Not the sessions: one that is closing waits for its peer to end the connection too,
+      // which never comes on one that went silent. On a day with silent connections three
+      // sidecars of three that stopped were killed at the end of their grace time.
+      const cut = setTimeout(() => { for (const socket of sockets) socket.destroy() }, CLOSE_GRACE_MS)
       server.close(() => {
         clearTimeout(cut)
         resolve()
--- a/packages/bendfall-platform/src/__tests__/unit/BendfallPlatformHttp.test.ts
+++ b/packages/bendfall-platform/src/__tests__/unit/BendfallPlatformHttp.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createHttpExchanger } from '../../BendfallPlatformHttp.js'
-import type { HttpExchanger } from '../../BendfallPlatformHttp.js'
+import type { HttpExchanger, HttpOptions } from '../../BendfallPlatformHttp.js'
 import { createSendOnce } from '../../BendfallPlatformHttpSendOnce.js'
 
 const OK_ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: keep-alive\r\n\r\nok'
@@ -21,7 +21,7 @@
 }
 
 /** Runs against a bare TCP server that handles the n-th request as told. */
-async function withPeer (onRequest: (socket: Socket, place: number) => void, run: (peer: Peer) => Promise<void>): Promise<void> {
+async function withPeer (onRequest: (socket: Socket, place: number) => void, run: (peer: Peer) => Promise<void>, options: Partial<HttpOptions> = {}): Promise<void> {
   const sockets: Socket[] = []
   let requests = 0
   const server = createServer((socket) => {
@@ -33,7 +33,7 @@
     })
   }).listen(0, '127.0.0.1')
   await once(server, 'listening')
-  const http = createHttpExchanger({ origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
+  const http = createHttpExchanger({ ...options, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}` })
   try {
     await run({ http, requests: () => requests, sockets })
   } finally {
@@ -84,6 +84,18 @@
   assert.is(answer.isErr() && answer.error.kind, 'timeout')
 }))
 
+test('after a call without an answer no kept connection is used again', () => withPeer((socket, place) => {
+  // Two connections are kept; then the third request gets no answer.
+  if (place !== 3) setTimeout(() => socket.write(OK_ANSWER), 20)
+}, async ({ http, sockets }) => {
+  await Promise.all([http.send(GET), http.send(GET)])
+  await becomesIdle()
+  assert.is(sockets.length, 2)
+  assert.ok((await http.send({ ...GET, timeoutMs: 60 })).isErr())
+  assert.ok((await http.send(GET)).isOk())
+  assert.is(sockets.length, 3)
+}, { renewsAfterTimeout: true }))
+
 test('lines are handed over whole, however they are cut', () => withPeer((socket) => {
   socket.write('HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\na\u00e9')
   setImmediate(() => socket.write('b\nc\nd'))
