Right the test of connections that are replaced after a timeout

What it is to show is that none of those that were kept is used again.

Change: those that were kept fall silent, and the next call must be answered.

--- a/packages/bendfall-platform/src/__tests__/unit/BendfallPlatformHttp.test.ts
+++ b/packages/bendfall-platform/src/__tests__/unit/BendfallPlatformHttp.test.ts
@@ -90,10 +90,12 @@
 }, async ({ http, sockets }) => {
   await Promise.all([http.send(GET), http.send(GET)])
   await becomesIdle()
-  assert.is(sockets.length, 2)
+  const kept = [...sockets]
+  assert.is(kept.length, 2)
   assert.ok((await http.send({ ...GET, timeoutMs: 60 })).isErr())
-  assert.ok((await http.send(GET)).isOk())
-  assert.is(sockets.length, 3)
+  for (const socket of kept) socket.removeAllListeners('data')
+  assert.ok((await http.send({ ...GET, timeoutMs: 500 })).isOk())
+  assert.ok(sockets.length > kept.length)
 }, { renewsAfterTimeout: true }))
 
 test('lines are handed over whole, however they are cut', () => withPeer((socket) => {
