Soak: replicas that leave, restart under their id, entries of other writers, silence

Change: four faults (leave, restart, foreign, silence); a send to a replica that left is a violation after the drain time, but for entries disturbed within three seconds; a third of the seeds plays only faults that excuse none. The stand-in of a replica tells the start of its process and can start again.

--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -27,6 +27,8 @@
 /** What a replica saw of a request. */
 export interface SeenRequest {
   readonly requestId: string
+  /** Monotonic time of its arrival. */
+  readonly atMs: number
   readonly kind: 'prefill' | 'run'
   readonly headers: IncomingMessage['headers']
   readonly path: string
@@ -44,6 +46,10 @@
   /** Forgets faults that no request met. */
   readonly heal: () => void
   readonly stage: () => string | undefined
+  /** Start of its process, Unix milliseconds. */
+  readonly bornAtMs: () => number
+  /** Starts again under its id and address: it knows nothing of before, and its connections are reset. */
+  readonly restart: () => void
   /** Requests that run now. */
   readonly running: () => number
 }
@@ -70,11 +76,13 @@
   const faults: FleetReplicaFault[] = []
   let { stage } = options
   let nextHandle = 1
+  let bornAtMs = Date.now()
 
   const usedTokens = (): number => [...runs.values()].reduce((sum, run) => sum + run.tokens, 0)
 
   function report (response: ServerResponse): void {
     answerJson(response, 200, {
+      born: bornAtMs,
       stage,
       models: [],
       'in-progress': false,
@@ -89,7 +97,7 @@
   }
 
   function note (request: IncomingMessage, body: Buffer, response: ServerResponse, kind: SeenRequest['kind']): SeenRequest {
-    const one: SeenRequest = { requestId: String(request.headers['x-request-id']), kind, headers: request.headers, path: request.url ?? '', body: body.toString(), isAborted: false, isRefused: false }
+    const one: SeenRequest = { requestId: String(request.headers['x-request-id']), atMs: performance.now(), kind, headers: request.headers, path: request.url ?? '', body: body.toString(), isAborted: false, isRefused: false }
     seen.push(one)
     response.once('close', () => { one.isAborted = !response.writableFinished })
     return one
@@ -141,6 +149,16 @@
     response.once('finish', () => clearInterval(timer))
   }
 
+  function restart (): void {
+    // Restarts within one millisecond are two lives as well.
+    bornAtMs = Math.max(Date.now(), bornAtMs + 1)
+    stage = options.stage
+    faults.length = 0
+    handles.clear()
+    server.resetAll()
+    runs.clear()
+  }
+
   const server = await startFleetServer(options.host, (request, body, response) => {
     const path = request.url ?? '/'
     if (path === '/api/report') return report(response)
@@ -158,7 +176,7 @@
     if (wantsPrefill) prefill(request, body, response)
     else run(request, body, response)
   })
-  return { ...server, seen, stage: () => stage, running: () => runs.size, failNext: (fault) => { faults.push(fault) }, heal: () => { faults.length = 0 } }
+  return { ...server, seen, stage: () => stage, bornAtMs: () => bornAtMs, restart, running: () => runs.size, failNext: (fault) => { faults.push(fault) }, heal: () => { faults.length = 0 } }
 }
 
 function breakOff ({ socket }: IncomingMessage, fault: 'reset' | 'garbled'): void {
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetServer.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetServer.ts
@@ -5,12 +5,14 @@
  */
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 /** A stand-in that listens. */
 export interface FleetServer {
   /** `ip:port`. */
   readonly address: string
+  /** Resets all connections, as the end of the process does. */
+  readonly resetAll: () => void
   readonly close: () => Promise<void>
 }
 
@@ -25,14 +27,20 @@
  * @returns the server once it listens
  */
 export async function startFleetServer (host: string, handle: FleetHandler): Promise<FleetServer> {
+  const sockets = new Set<Socket>()
   const server = createServer((request, response) => {
     const chunks: Buffer[] = []
     request.on('data', (chunk: Buffer) => chunks.push(chunk))
     request.once('end', () => handle(request, Buffer.concat(chunks), response))
   })
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+  })
   await new Promise<void>((resolve) => server.listen(0, host, resolve))
   return {
     address: `${host}:${(server.address() as AddressInfo).port}`,
+    resetAll: () => { for (const socket of sockets) socket.resetAndDestroy() },
     close: () => new Promise((resolve) => {
       server.close(() => resolve())
       server.closeAllConnections()
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -9,7 +9,7 @@
 import type { Draw } from '../../BendfallFakesClusterFaults.js'
 import { call, findWrongAnswer } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
-import { inflict } from './BendfallFakesSoakFaults.js'
+import { ALL_FAULTS, inflict, LEAVING_FAULTS } from './BendfallFakesSoakFaults.js'
 import { SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet } from './BendfallFakesSoakFleet.js'
 
@@ -22,11 +22,28 @@
   readonly violations: readonly string[]
 }
 
+interface SoakFault {
+  readonly name: string
+  readonly fromMs: number
+  readonly untilMs: number
+}
+
+/** Time after which a replica that leaves must get no new work, and slack of a busy machine. */
+const DRAIN_MS = 2_000
+const SLACK_MS = 300
+
+/** Entries are held to it once the store, their way to it and themselves were undisturbed for this long. */
+const CALM_MS = 3_000
+
+/** Faults that excuse an entry; connections that fall silent don't. */
+const EXCUSING = /^(kill|pause|terminate) entry|^proxy|^store/
+
 const KINDS: readonly CallKind[] = ['booking', 'brief', 'rate', 'summary']
 const CALLERS = 8
 const CALL_PAUSE_MS = 30
 const FAULT_SERIES = 2
 const REST_MS = [100, 400, 1_000] as const
+const LEAVING_EVERY = 3
 const RECOVERY_MS = 6_000
 const FREE_MS = 3_000
 const PROOF_CALLS = 12
@@ -47,19 +64,21 @@
 export async function soakFleet (seed: number, seconds: number): Promise<SoakResult> {
   const fleet = await startSoakFleet()
   const records: CallRecord[] = []
-  const faults: string[] = []
+  const faults: SoakFault[] = []
+  // In a third of the seeds no fault excuses a late send to a replica that leaves.
+  const names = seed % LEAVING_EVERY === 0 ? LEAVING_FAULTS : ALL_FAULTS
   try {
     await untilServed(fleet, seed)
     const endsAtMs = performance.now() + seconds * 1_000
     const isOver = (): boolean => performance.now() >= endsAtMs
     await Promise.all([
       ...Array.from({ length: CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
-      ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), faults, isOver))
+      ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), names, faults, isOver))
     ])
-    const violations = [...findViolations(fleet, records), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
+    const violations = [...findViolations(fleet, records), ...findLateSends(fleet, faults), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
     const answered = records.filter(({ isWhole, status }) => status === 200 && isWhole).length
     const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
-    return { calls: records.length, answered, refused, faults, violations }
+    return { calls: records.length, answered, refused, faults: faults.map(({ name }) => name), violations }
   } finally {
     await fleet.close()
   }
@@ -72,9 +91,11 @@
   }
 }
 
-async function harmOn (fleet: SoakFleet, draw: Draw, faults: string[], isOver: () => boolean): Promise<void> {
+async function harmOn (fleet: SoakFleet, draw: Draw, names: readonly string[], faults: SoakFault[], isOver: () => boolean): Promise<void> {
   while (!isOver()) {
-    faults.push(await inflict(fleet, draw))
+    const fromMs = performance.now()
+    const name = await inflict(fleet, draw, names)
+    faults.push({ name, fromMs, untilMs: performance.now() })
     await sleep(draw(REST_MS))
   }
 }
@@ -91,6 +112,15 @@
   })
 }
 
+// A replica that leaves gets no new work after the drain time.
+function findLateSends ({ away }: SoakFleet, faults: readonly SoakFault[]): string[] {
+  const excuses = faults.filter(({ name }) => EXCUSING.test(name))
+  const isCalm = (atMs: number): boolean => excuses.every(({ fromMs, untilMs }) => atMs < fromMs || atMs > untilMs + CALM_MS)
+  return away.flatMap(({ fromMs, replica, untilMs = Infinity }) => replica.seen
+    .filter(({ atMs }) => atMs > fromMs + DRAIN_MS + SLACK_MS && atMs < untilMs && isCalm(atMs))
+    .map(({ atMs, requestId }) => `${requestId} reached ${replica.address} ${Math.round(atMs - fromMs)} ms after it left`))
+}
+
 function countRuns ({ models, plain }: SoakFleet): ReadonlyMap<string, number> {
   const runs = new Map<string, number>()
   for (const { replica } of [...models, ...plain]) {
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -13,14 +13,46 @@
 const REPLICA_FAULTS: readonly FleetReplicaFault[] = ['not_run', 'reset', 'garbled', 'other_request', 'unsigned', 'break_off']
 const PROXY_FAULTS: readonly ProxyFault[] = ['delayed', 'one_way', 'silent']
 
+/** Time for which a replica that leaves is away before it starts again: longer than the drain time, so that late sends show. */
+const AWAY_MS = 4_500
+
+/** What another writer may leave among the registrations. */
+const FOREIGN_ENTRIES: ReadonlyArray<(address: string) => unknown> = [
+  () => 'no registration',
+  (address) => ({ service: 'app', address }),
+  (address) => ({ service: 'other', address, zone: 'a', version: 'v1', slots: 6, state: 'ready', 'cold-remaining-ms': 0, seq: 1 }),
+  () => ({ service: 'app', address: 'nowhere', zone: 'a', version: 'v1', slots: 6, state: 'ready', 'cold-remaining-ms': 0, seq: 1 })
+]
+
 type Inflict = (fleet: SoakFleet, draw: Draw) => Promise<string>
 
 const FAULTS: Readonly<Record<string, Inflict>> = {
+  foreign: async ({ plain, store }, draw) => {
+    const { proxy } = draw(plain)
+    store.put('servers/foreign', draw(FOREIGN_ENTRIES)(proxy.address))
+    await sleep(draw(FAULT_MS))
+    store.remove('servers/foreign')
+    return proxy.address
+  },
   kill: async (fleet, draw) => {
     const node = draw(fleet.nodes)
     await end(node, 'SIGKILL', draw)
     return node.name
   },
+  leave: async ({ away, plain }, draw) => {
+    // One at a time: the others serve meanwhile.
+    if (away.some(({ untilMs }) => untilMs === undefined)) return 'nobody'
+    const one = draw(plain)
+    const state = draw(['draining', 'none'] as const)
+    one.register(state)
+    const spell = { replica: one.replica, fromMs: performance.now(), untilMs: undefined as number | undefined }
+    away.push(spell)
+    await sleep(AWAY_MS)
+    spell.untilMs = performance.now()
+    one.replica.restart()
+    one.register('ready')
+    return `${one.replicaId} ${state}`
+  },
   pause: async (fleet, draw) => {
     const node = draw(fleet.nodes)
     const { process } = node
@@ -48,6 +80,17 @@
     proxy.reset()
     return proxy.address
   },
+  restart: async ({ models, plain }, draw) => {
+    const one = draw([...models, ...plain])
+    one.replica.restart()
+    one.register('ready')
+    return one.replicaId
+  },
+  silence: async (fleet, draw) => {
+    const proxy = draw(proxiesOf(fleet))
+    proxy.silence()
+    return proxy.address
+  },
   store_fails: async (fleet, draw) => {
     fleet.store.fail(draw([429, 503]))
     await sleep(draw(FAULT_MS))
@@ -65,15 +108,22 @@
   }
 }
 
+/** Names of all faults. */
+export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS)
+
+/** Faults that excuse no entry from knowing what leaves. */
+export const LEAVING_FAULTS: readonly string[] = ['foreign', 'leave', 'leave', 'reset', 'restart', 'silence']
+
 /**
  * Inflicts a drawn fault and waits until it is over.
  *
  * @param fleet - the fleet
  * @param draw - the draws
+ * @param names - faults to draw from
  * @returns its name and place
  */
-export async function inflict (fleet: SoakFleet, draw: Draw): Promise<string> {
-  const name = draw(Object.keys(FAULTS))
+export async function inflict (fleet: SoakFleet, draw: Draw, names: readonly string[]): Promise<string> {
+  const name = draw(names)
   return `${name} ${await FAULTS[name]?.(fleet, draw)}`
 }
 
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -44,10 +44,22 @@
 export interface SoakReplica {
   readonly replica: FleetReplica
   readonly proxy: FleetProxy
+  readonly replicaId: string
+  /** Writes its registration; `none` removes it. */
+  readonly register: (state: 'ready' | 'draining' | 'none') => void
+}
+
+/** Time in which a replica had said that it leaves, or was no longer registered. */
+export interface AwaySpell {
+  readonly replica: FleetReplica
+  readonly fromMs: number
+  /** Absent while it lasts. */
+  untilMs: number | undefined
 }
 
 /** The fleet. */
 export interface SoakFleet {
+  readonly away: AwaySpell[]
   readonly store: FleetStore
   readonly storeProxy: FleetProxy
   readonly models: readonly SoakReplica[]
@@ -85,10 +97,9 @@
   const store = await startFleetStore(ip(1))
   const storeProxy = await startFleetProxy(store.address)
   const models: SoakReplica[] = []
-  for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(ip(11 + index), `m${index}`, stage))
-  const plain = [await startReplica(ip(21), 'a0'), await startReplica(ip(22), 'a1')]
-  models.forEach((one, index) => register(store, `m${index}`, one))
-  plain.forEach((one, index) => register(store, `a${index}`, one))
+  for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(store, ip(11 + index), `m${index}`, stage))
+  const plain = [await startReplica(store, ip(21), 'a0'), await startReplica(store, ip(22), 'a1'), await startReplica(store, ip(23), 'a2')]
+  for (const one of [...models, ...plain]) one.register('ready')
   store.put('op/config', CONFIG)
   const shared = { availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4 }
   const entryIps = [ip(2), ip(3)]
@@ -97,6 +108,7 @@
     ...await Promise.all(entryIps.map((own, index) => startNode(folder, 'entry', { ...shared, instanceId: `entry-${index}`, ip: own, callersListen: `${own}:${CALLERS_PORT}`, readyListen: `${own}:${READY_PORT}` })))
   ]
   return {
+    away: [],
     store,
     storeProxy,
     models,
@@ -119,14 +131,21 @@
   return `127.${1 + subnet % SUBNETS}.${Math.floor(subnet / SUBNETS) % SUBNETS}.${last}`
 }
 
-async function startReplica (host: string, replicaId: string, stage?: 'prefill' | 'decode'): Promise<SoakReplica> {
+async function startReplica (store: FleetStore, host: string, replicaId: string, stage?: 'prefill' | 'decode'): Promise<SoakReplica> {
   const replica = await startFleetReplica({ host, replicaId, stage, events: SOAK_EVENTS, eventMs: EVENT_MS })
-  return { replica, proxy: await startFleetProxy(replica.address) }
-}
-
-function register (store: FleetStore, replicaId: string, { proxy, replica }: SoakReplica): void {
-  const service = replica.stage() === undefined ? 'app' : 'llm'
-  store.put(`servers/${replicaId}`, { service, address: proxy.address, zone: 'a', version: 'v1', slots: 6, state: 'ready', 'cold-remaining-ms': 0, stage: replica.stage(), seq: 1 })
+  const proxy = await startFleetProxy(replica.address)
+  const key = `servers/${replicaId}`
+  let seq = 0
+  return {
+    replica,
+    proxy,
+    replicaId,
+    register: (state) => {
+      if (state === 'none') return store.remove(key)
+      seq += 1
+      store.put(key, { born: replica.bornAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: 'v1', slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
+    }
+  }
 }
 
 async function startNode (folder: string, role: 'entry' | 'sidecar', settings: EdgeSettings): Promise<SoakNode> {
