--- a/packages/bendfall-fakes/src/__tests__/process/BendfallFakesFleetSoak.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/BendfallFakesFleetSoak.test.ts
@@ -3,7 +3,8 @@
 import { soakFleet } from '../../fleet/soak/BendfallFakesFleetSoak.js'
 
 // Seeds that ever failed stand here with a line on the cause.
-const SEEDS: readonly number[] = [1]
+// 3 plays only faults that excuse no late send to a replica that leaves.
+const SEEDS: readonly number[] = [1, 3]
 
 const SECONDS = 5
 
