Tell lapsed registrations from removed ones by all replicas, not by pool

Cause: by pool, the only prefill replica of a service that is missing after a cut counted as lapsed, and got prompts for up to 2.4 s after it had left. Found by reading.

Change: registrations count as lapsed when more than half of all replicas are missing. What a send changes in a request stands once (noteSent) instead of in both starters.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterRegistrations.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterRegistrations.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { arrival, createWorld, loadOf, only, plainRoute, replicaOf, summaryRoute } from './RouterWorld.js'
+import { arrival, createWorld, loadOf, only, plainRoute, replicaOf, summaryRoute, typesOf } from './RouterWorld.js'
 import type { RouterWorld } from './RouterWorld.js'
 
 const FORMER = replicaOf('a5', 'plain', { address: 'a:80', registeredAtRevision: 3 })
@@ -42,6 +42,15 @@
   assert.is(sentTo(world, 40).size, 4)
 })
 
+test('the only prefill replica that is missing after an outage reads no prompt', () => {
+  const world = createWorld([summaryRoute()], [replicaOf('p1', 'prefill'), replicaOf('d1', 'decode'), replicaOf('d2', 'decode')])
+  world.send({ type: 'load_learned', load: loadOf('d1', 'decode', 30_000) })
+  world.send({ type: 'replicas_missing', replicaIds: ['p1'] })
+  const reserve = only(world.send(arrival('1')), 'reserve')
+  const next = world.send({ type: 'reserve_answered', key: '1', attempt: reserve.attempt, outcome: { type: 'granted' } })
+  assert.equal(typesOf(next), ['send_run'])
+})
+
 test('a replica that is registered again gets work', () => {
   const world = createWorld([plainRoute()], FOUR)
   world.send({ type: 'replicas_missing', replicaIds: ['a'] })
--- a/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
@@ -22,7 +22,7 @@
 /** Failures in a row from which a replica is left alone. */
 const FAILURES_TO_SUSPECT = 2
 
-/** Share of a pool from which missing registrations count as lapsed in an outage: more at once than operators take away. */
+/** Share of all replicas from which missing registrations count as lapsed in an outage: more at once than operators take away. */
 const LAPSED_SHARE = 0.5
 
 /** Time for which a ledger that did not answer is not asked. */
@@ -65,21 +65,22 @@
 
 /**
  * Tells whether a replica leaves, so that it gets no new work. One whose registration is
- * missing after an outage counts as leaving while most of its pool is registered: a few
+ * missing after an outage counts as leaving while most replicas are registered: a few
  * that are missing left, many lapsed in the outage and will be back.
  *
  * @param state - of the entry
  * @param belief - about the replica
  * @returns true when it gets no new work
  */
-export function isLeaving (state: RouterState, belief: ReplicaBelief): boolean {
-  return belief.replica.isDraining || (belief.isMissing && !hasLapsed(state, belief))
+export function isLeaving (state: RouterState, { isMissing, replica }: ReplicaBelief): boolean {
+  return replica.isDraining || (isMissing && !haveLapsed(state))
 }
 
-function hasLapsed ({ replicas }: RouterState, { replica }: ReplicaBelief): boolean {
-  const pool = [...replicas.values()].filter((one) => one.replica.service === replica.service && one.replica.stage === replica.stage && !one.replica.isDraining)
-  const missing = pool.filter(({ isMissing }) => isMissing)
-  return missing.length > pool.length * LAPSED_SHARE
+// Of all replicas, not of a pool: the only prefill replica of a service may leave, while
+// an outage does not choose between pools.
+function haveLapsed ({ replicas }: RouterState): boolean {
+  const missing = [...replicas.values()].filter(({ isMissing }) => isMissing)
+  return missing.length > replicas.size * LAPSED_SHARE
 }
 
 /**
--- a/packages/bendfall-router/src/entry/BendfallRouterContext.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterContext.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { drawUnit } from 'bendfall-core'
-import type { RequestState, RouterState } from './BendfallRouterState.js'
+import type { ReplicaBelief, RequestState, RouterState } from './BendfallRouterState.js'
 import type { DecisionInputs, EndReason, RouterEffect } from './BendfallRouterEffects.js'
 import { createBudget } from './BendfallRouterBudget.js'
 import type { RetryBudget } from './BendfallRouterBudget.js'
@@ -82,6 +82,26 @@
   return Math.max(0, request.deadlineAtMs - nowMs)
 }
 
+/**
+ * Notes that a request is sent to a replica to run there.
+ *
+ * @param context - of the event
+ * @param request - the request
+ * @param belief - about the replica
+ * @param phase - step that the request is in
+ */
+export function noteSent ({ nowMs }: RouterContext, request: RequestState, belief: ReplicaBelief, phase: 'plain' | 'run'): void {
+  const { bornAtMs, replicaId } = belief.replica
+  request.phase = phase
+  request.attempt += 1
+  request.runs += 1
+  request.sends += 1
+  request.runAt = replicaId
+  request.sentTo = { replicaId, bornAtMs }
+  request.runSentAtMs = nowMs
+  belief.inFlight += 1
+}
+
 /**
  * Age of what is known of the registrations: a replica that left since then is not
  * known to have left.
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -6,7 +6,7 @@
 import { noteFailure, noteSuccess, usableReplicas } from './BendfallRouterBelief.js'
 import { countRequest } from './BendfallRouterBudget.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { budgetOf, draw, logDecision, newsAgeMs, remainingMs } from './BendfallRouterContext.js'
+import { budgetOf, draw, logDecision, newsAgeMs, noteSent, remainingMs } from './BendfallRouterContext.js'
 import { endAnswered, leaveRun } from './BendfallRouterEnd.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
 import { hasNotRun, mayRunAgain, takeRetry } from './BendfallRouterRetry.js'
@@ -42,14 +42,7 @@
   if (belief === undefined) return { type: 'refuse', status: 503, reason: 'no_replica', retryAfterMs: NO_REPLICA_RETRY_MS }
   const { address, replicaId } = belief.replica
   if (request.attempt === 0) countRequest(budgetOf(context, request.service), context.nowMs)
-  request.phase = 'plain'
-  request.attempt += 1
-  request.runs += 1
-  request.sends += 1
-  request.runAt = replicaId
-  request.sentTo = { replicaId, bornAtMs: belief.replica.bornAtMs }
-  request.runSentAtMs = context.nowMs
-  belief.inFlight += 1
+  noteSent(context, request, belief, 'plain')
   logDecision(context, request, 'sent', { replica: replicaId, inFlight: belief.inFlight, newsAgeMs: newsAgeMs(context), latencyMs: Math.round(belief.latencyMs), failureShare: round(belief.failureShare), attempt: request.attempt })
   context.effects.push({
     type: 'send_run',
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -6,7 +6,7 @@
 import { isLeaving, noteFailure, noteSuccess } from './BendfallRouterBelief.js'
 import { countRequest } from './BendfallRouterBudget.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { budgetOf, logDecision, newsAgeMs, remainingMs } from './BendfallRouterContext.js'
+import { budgetOf, logDecision, newsAgeMs, noteSent, remainingMs } from './BendfallRouterContext.js'
 import { endAnswered, leaveHandle, leaveReservation, leaveRun } from './BendfallRouterEnd.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
 import { readInPlaceMs } from './BendfallRouterReading.js'
@@ -41,16 +41,9 @@
   const { address, replicaId } = belief.replica
   const { handle } = request
   if (request.extraSends === 0) countRequest(budgetOf(context, request.service), context.nowMs)
-  request.phase = 'run'
-  request.attempt += 1
-  request.runs += 1
-  request.sends += 1
-  request.runAt = replicaId
-  request.sentTo = { replicaId, bornAtMs: belief.replica.bornAtMs }
-  request.runSentAtMs = context.nowMs
+  noteSent(context, request, belief, 'run')
   request.handle = undefined
   request.triedHandle = handle
-  belief.inFlight += 1
   logDecision(context, request, 'sent', { replica: replicaId, prefillAt: handle?.replicaId, inFlight: belief.inFlight, newsAgeMs: newsAgeMs(context), attempt: request.attempt, lastEventId: request.lastEventId })
   context.effects.push({
     type: 'send_run',
