Name staleness, incarnations and start times by the terms of the field

Names only: newsAgeMs is registrationsAgeMs, blindMs is staleMs, bornAtMs is startedAtMs, a life is an incarnation.

--- a/packages/bendfall-edge/src/BendfallEdgeDialect.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeDialect.ts
@@ -81,7 +81,7 @@
 /** Load of a model replica as it tells itself. */
 export interface EngineReport {
   /** Start of the replica's process, Unix time; absent where the platform does not tell it. */
-  readonly bornAtMs?: number
+  readonly startedAtMs?: number
   readonly stage: ReplicaStage
   readonly usedTokens: number
   readonly capacityTokens: number
--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -34,7 +34,7 @@
 }
 
 /** Of the time after which a change must be known: longer without an answer is worth a line. */
-const BEHIND_SHARE = 0.7
+const STALE_SHARE = 0.7
 
 /**
  * Starts to learn.
@@ -44,9 +44,9 @@
  */
 export function registerDirectory (options: DirectoryOptions): Teardown {
   const { configApplyMs, dialect, drainMs, logger, loop, metrics, onChange, onConfig, onReplicas, port } = options
-  const noteBlind = (prefix: string, boundMs: number, blindMs: number): void => {
-    metrics.measureMs('bendfall_directory_blind_milliseconds', blindMs, { prefix })
-    if (blindMs > boundMs * BEHIND_SHARE) logger.warn('directory_was_behind', { prefix, blindMs: Math.round(blindMs) })
+  const noteStaleness = (prefix: string, boundMs: number, staleMs: number): void => {
+    metrics.measureMs('bendfall_directory_staleness_milliseconds', staleMs, { prefix })
+    if (staleMs > boundMs * STALE_SHARE) logger.warn('directory_was_stale', { prefix, staleMs: Math.round(staleMs) })
   }
   const unreadable = new Map<string, string>()
   const onReachable = (isReachable: boolean, detail: string): void => {
@@ -107,7 +107,7 @@
         // The last configuration stays in force.
         onGone: () => {},
         onMissing: () => {},
-        onCurrent: (blindMs) => noteBlind(dialect.configPrefix, configApplyMs, blindMs),
+        onCurrent: (staleMs) => noteStaleness(dialect.configPrefix, configApplyMs, staleMs),
         onReachable
       }
     }),
@@ -124,8 +124,8 @@
           onChange()
         },
         onMissing: takeMissing,
-        onCurrent: (blindMs) => {
-          noteBlind(dialect.replicaPrefix, drainMs, blindMs)
+        onCurrent: (staleMs) => {
+          noteStaleness(dialect.replicaPrefix, drainMs, staleMs)
           loop.dispatch({ type: 'replicas_current' })
         },
         onReachable: () => {}
--- a/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
@@ -40,8 +40,8 @@
    * been removed. Each is told present or gone within the time in which lapsed ones return.
    */
   readonly onMissing: (keys: readonly string[], returnedMs: number) => void
-  /** All changes up to now were told; `blindMs` is the time since they last were. */
-  readonly onCurrent: (blindMs: number) => void
+  /** All changes up to now were told; `staleMs` is the time since they last were. */
+  readonly onCurrent: (staleMs: number) => void
   /** The service was lost or is back. */
   readonly onReachable: (isReachable: boolean, detail: string) => void
 }
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock, Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { createSignal } from 'bendfall-node'
-import { lifeOf } from 'bendfall-router'
+import { incarnationOf } from 'bendfall-router'
 import type { LedgerEffect, LedgerEvent, LedgerState } from 'bendfall-router'
 import type { EngineReport, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import { createConnectionPool } from '../replica/BendfallEdgeConnections.js'
@@ -72,7 +72,7 @@
   function noteReport (report: EngineReport, askedAtMs: number): void {
     if (failures >= FAILURES_TO_UNHEALTHY) logger.info('replica_regained', { address: replicaAddress })
     failures = 0
-    if (lifeOf(state(), report) !== 'same') logger.info('replica_restarted', { address: replicaAddress, formerBornAtMs: state().report?.bornAtMs, bornAtMs: report.bornAtMs })
+    if (incarnationOf(state(), report) !== 'same') logger.info('replica_restarted', { address: replicaAddress, formerStartedAtMs: state().report?.startedAtMs, startedAtMs: report.startedAtMs })
     logger.debug('report', { ...report, runs: report.runs.map((run) => `${run.requestId}:${run.tokensInMemory}:${run.eventsMade}`).join(',') })
     if (isNews(state(), report)) loop.dispatch({ type: 'report_read', report, askedAtMs })
   }
@@ -113,7 +113,7 @@
 function isNews (state: LedgerState, report: EngineReport): boolean {
   const { report: last } = state
   if (!state.isHealthy || last === undefined || isBusy(state) || report.active > 0 || report.queued > 0) return true
-  return last.bornAtMs !== report.bornAtMs || last.stage !== report.stage || last.isSwitching !== report.isSwitching || last.capacityTokens !== report.capacityTokens
+  return last.startedAtMs !== report.startedAtMs || last.stage !== report.stage || last.isSwitching !== report.isSwitching || last.capacityTokens !== report.capacityTokens
 }
 
 function readReport (pool: ConnectionPool, dialect: ReplicaDialect, clock: Clock): Promise<EngineReport | undefined> {
--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesLeaving.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesLeaving.test.ts
@@ -9,7 +9,7 @@
  *    Evidence: removals_held at the return, replica_gone 4.0 s later, sends in between.
  * 2. The connections to the store fell silent. A replica said that it drains; the watch
  *    that should have told was given up 3.2 s after its start.
- *    Evidence: sends with a newsAgeMs beyond 2,000 until directory_was_behind.
+ *    Evidence: sends with a registrationsAgeMs beyond 2,000 until directory_was_stale.
  *
  * Cause: nothing bounded the time for which an entry acts on what it last knew.
  */
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -47,7 +47,7 @@
   readonly heal: () => void
   readonly stage: () => string | undefined
   /** Start of its process, Unix milliseconds. */
-  readonly bornAtMs: () => number
+  readonly startedAtMs: () => number
   /** Starts again under its id and address: it knows nothing of before, and its connections are reset. */
   readonly restart: () => void
   /** Requests that run now. */
@@ -76,13 +76,13 @@
   const faults: FleetReplicaFault[] = []
   let { stage } = options
   let nextHandle = 1
-  let bornAtMs = Date.now()
+  let startedAtMs = Date.now()
 
   const usedTokens = (): number => [...runs.values()].reduce((sum, run) => sum + run.tokens, 0)
 
   function report (response: ServerResponse): void {
     answerJson(response, 200, {
-      born: bornAtMs,
+      born: startedAtMs,
       stage,
       models: [],
       'in-progress': false,
@@ -150,8 +150,8 @@
   }
 
   function restart (): void {
-    // Restarts within one millisecond are two lives as well.
-    bornAtMs = Math.max(Date.now(), bornAtMs + 1)
+    // Restarts within one millisecond are two incarnations as well.
+    startedAtMs = Math.max(Date.now(), startedAtMs + 1)
     stage = options.stage
     faults.length = 0
     handles.clear()
@@ -176,7 +176,7 @@
     if (wantsPrefill) prefill(request, body, response)
     else run(request, body, response)
   })
-  return { ...server, seen, stage: () => stage, bornAtMs: () => bornAtMs, restart, running: () => runs.size, failNext: (fault) => { faults.push(fault) }, heal: () => { faults.length = 0 } }
+  return { ...server, seen, stage: () => stage, startedAtMs: () => startedAtMs, restart, running: () => runs.size, failNext: (fault) => { faults.push(fault) }, heal: () => { faults.length = 0 } }
 }
 
 function breakOff ({ socket }: IncomingMessage, fault: 'reset' | 'garbled'): void {
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -75,7 +75,7 @@
       ...Array.from({ length: CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
       ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), names, faults, isOver))
     ])
-    const violations = [...findViolations(fleet, records), ...findLateSends(fleet, faults), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
+    const violations = [...findViolations(fleet, records), ...findLateArrivals(fleet, faults), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
     const answered = records.filter(({ isWhole, status }) => status === 200 && isWhole).length
     const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
     return { calls: records.length, answered, refused, faults: faults.map(({ name }) => name), violations }
@@ -113,7 +113,7 @@
 }
 
 // A replica that leaves gets no new work after the drain time.
-function findLateSends ({ away }: SoakFleet, faults: readonly SoakFault[]): string[] {
+function findLateArrivals ({ away }: SoakFleet, faults: readonly SoakFault[]): string[] {
   const excuses = faults.filter(({ name }) => EXCUSING.test(name))
   const isCalm = (atMs: number): boolean => excuses.every(({ fromMs, untilMs }) => atMs < fromMs || atMs > untilMs + CALM_MS)
   return away.flatMap(({ fromMs, replica, untilMs = Infinity }) => replica.seen
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -45,10 +45,10 @@
     const one = draw(plain)
     const state = draw(['draining', 'none'] as const)
     one.register(state)
-    const spell = { replica: one.replica, fromMs: performance.now(), untilMs: undefined as number | undefined }
-    away.push(spell)
+    const absence = { replica: one.replica, fromMs: performance.now(), untilMs: undefined as number | undefined }
+    away.push(absence)
     await sleep(AWAY_MS)
-    spell.untilMs = performance.now()
+    absence.untilMs = performance.now()
     one.replica.restart()
     one.register('ready')
     return `${one.replicaId} ${state}`
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -50,7 +50,7 @@
 }
 
 /** Time in which a replica had said that it leaves, or was no longer registered. */
-export interface AwaySpell {
+export interface Absence {
   readonly replica: FleetReplica
   readonly fromMs: number
   /** Absent while it lasts. */
@@ -59,7 +59,7 @@
 
 /** The fleet. */
 export interface SoakFleet {
-  readonly away: AwaySpell[]
+  readonly away: Absence[]
   readonly store: FleetStore
   readonly storeProxy: FleetProxy
   readonly models: readonly SoakReplica[]
@@ -143,7 +143,7 @@
     register: (state) => {
       if (state === 'none') return store.remove(key)
       seq += 1
-      store.put(key, { born: replica.bornAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: 'v1', slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
+      store.put(key, { born: replica.startedAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: 'v1', slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
     }
   }
 }
--- a/packages/bendfall-router/src/BendfallRouterTypes.ts
+++ b/packages/bendfall-router/src/BendfallRouterTypes.ts
@@ -84,8 +84,8 @@
   readonly registeredAtRevision: number
   /** Grows with each write of the registration. */
   readonly revision: number
-  /** Start of the replica's process, Unix time: its life. Absent where the platform does not tell it. */
-  readonly bornAtMs?: number
+  /** Start of the replica's process, Unix time: its incarnation. Absent where the platform does not tell it. */
+  readonly startedAtMs?: number
   /** Heartbeats since the start of the process. */
   readonly heartbeats: number
   readonly service: string
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterRestarts.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterRestarts.test.ts
@@ -8,18 +8,18 @@
 const FIRST_MS = 1_000
 const SECOND_MS = 9_000
 
-const bornAt = (replicaId: string, stage: ReplicaStage, bornAtMs: number, revision: number): Replica => replicaOf(replicaId, stage, { bornAtMs, revision })
+const startedAt = (replicaId: string, stage: ReplicaStage, startedAtMs: number, revision: number): Replica => replicaOf(replicaId, stage, { startedAtMs, revision })
 const tell = (world: RouterWorld, ...present: readonly Replica[]): RouterEffect[] => world.send({ type: 'replicas_changed', present, gone: [] })
 
 function plainWorld (): RouterWorld {
-  return createWorld([plainRoute()], [bornAt('a', 'plain', FIRST_MS, 1)])
+  return createWorld([plainRoute()], [startedAt('a', 'plain', FIRST_MS, 1)])
 }
 
 test('what was believed of a replica ends when it starts again', () => {
   const world = plainWorld()
   only(world.send(arrival('1', '/rates/1')), 'send_run')
   assert.is(world.state.replicas.get('a')?.inFlight, 1)
-  tell(world, bornAt('a', 'plain', SECOND_MS, 2))
+  tell(world, startedAt('a', 'plain', SECOND_MS, 2))
   assert.is(world.state.replicas.get('a')?.inFlight, 0)
   assert.is(world.state.replicas.get('a')?.latencyMs, 0)
 })
@@ -27,16 +27,16 @@
 test('a request at the process that ended fails, and its failure tells nothing of the new one', () => {
   const world = plainWorld()
   const sent = only(world.send(arrival('1', '/rates/1')), 'send_run')
-  assert.equal(typesOf(tell(world, bornAt('a', 'plain', SECOND_MS, 2))), ['fail_send'])
+  assert.equal(typesOf(tell(world, startedAt('a', 'plain', SECOND_MS, 2))), ['fail_send'])
   const next = world.send({ type: 'run_failed', key: '1', attempt: sent.attempt, failure: 'unknown' })
   assert.is(only(next, 'send_run').replicaId, 'a')
   assert.is(world.state.replicas.get('a')?.failureShare, 0)
 })
 
 test('a call that may not be repeated is not sent to the new process', () => {
-  const world = createWorld([plainRoute({ kind: 'non_idempotent', maxAttempts: 1 })], [bornAt('a', 'plain', FIRST_MS, 1)])
+  const world = createWorld([plainRoute({ kind: 'non_idempotent', maxAttempts: 1 })], [startedAt('a', 'plain', FIRST_MS, 1)])
   const sent = only(world.send(arrival('1', '/rates/1')), 'send_run')
-  tell(world, bornAt('a', 'plain', SECOND_MS, 2))
+  tell(world, startedAt('a', 'plain', SECOND_MS, 2))
   assert.is(only(world.send({ type: 'run_failed', key: '1', attempt: sent.attempt, failure: 'unknown' }), 'refuse').status, 502)
 })
 
@@ -44,41 +44,41 @@
   const world = plainWorld()
   only(world.send(arrival('1', '/rates/1')), 'send_run')
   world.send({ type: 'replicas_changed', present: [], gone: ['a'] })
-  assert.equal(typesOf(tell(world, bornAt('a', 'plain', SECOND_MS, 2))), ['fail_send'])
+  assert.equal(typesOf(tell(world, startedAt('a', 'plain', SECOND_MS, 2))), ['fail_send'])
 })
 
 test('a registration that lapsed in an outage and is back ends nothing', () => {
   const world = plainWorld()
   only(world.send(arrival('1', '/rates/1')), 'send_run')
   world.send({ type: 'replicas_changed', present: [], gone: ['a'] })
-  assert.equal(tell(world, bornAt('a', 'plain', FIRST_MS, 2)), [])
+  assert.equal(tell(world, startedAt('a', 'plain', FIRST_MS, 2)), [])
 })
 
 test('a late word of the former process changes nothing', () => {
   const world = plainWorld()
-  tell(world, bornAt('a', 'plain', SECOND_MS, 5))
-  tell(world, { ...bornAt('a', 'plain', FIRST_MS, 6), isDraining: true })
-  assert.is(world.state.replicas.get('a')?.replica.bornAtMs, SECOND_MS)
+  tell(world, startedAt('a', 'plain', SECOND_MS, 5))
+  tell(world, { ...startedAt('a', 'plain', FIRST_MS, 6), isDraining: true })
+  assert.is(world.state.replicas.get('a')?.replica.startedAtMs, SECOND_MS)
   assert.is(world.state.replicas.get('a')?.replica.isDraining, false)
 })
 
 test('an older write of a registration that is told late does not bring a draining replica back', () => {
   const world = plainWorld()
-  tell(world, { ...bornAt('a', 'plain', FIRST_MS, 4), isDraining: true })
-  tell(world, bornAt('a', 'plain', FIRST_MS, 3))
+  tell(world, { ...startedAt('a', 'plain', FIRST_MS, 4), isDraining: true })
+  tell(world, startedAt('a', 'plain', FIRST_MS, 3))
   assert.is(world.state.replicas.get('a')?.replica.isDraining, true)
 })
 
 test('a replica that drained and starts again is used', () => {
   const world = plainWorld()
-  tell(world, { ...bornAt('a', 'plain', FIRST_MS, 4), isDraining: true })
-  tell(world, bornAt('a', 'plain', SECOND_MS, 5))
+  tell(world, { ...startedAt('a', 'plain', FIRST_MS, 4), isDraining: true })
+  tell(world, startedAt('a', 'plain', SECOND_MS, 5))
   assert.is(only(world.send(arrival('1', '/rates/1')), 'send_run').replicaId, 'a')
 })
 
 test('of two processes at one address the one that started later counts, whichever registered first', () => {
   const world = createWorld([plainRoute()], [])
-  tell(world, replicaOf('old', 'plain', { address: 'a:80', bornAtMs: FIRST_MS, registeredAtRevision: 8 }), replicaOf('new', 'plain', { address: 'a:80', bornAtMs: SECOND_MS, registeredAtRevision: 3 }))
+  tell(world, replicaOf('old', 'plain', { address: 'a:80', startedAtMs: FIRST_MS, registeredAtRevision: 8 }), replicaOf('new', 'plain', { address: 'a:80', startedAtMs: SECOND_MS, registeredAtRevision: 3 }))
   assert.equal([...world.state.replicas.keys()], ['new'])
 })
 
@@ -90,12 +90,12 @@
 })
 
 test('the result of a prefill ends with the process that holds it', () => {
-  const world = createWorld([summaryRoute()], [bornAt('p1', 'prefill', FIRST_MS, 1), bornAt('d1', 'decode', FIRST_MS, 1)])
+  const world = createWorld([summaryRoute()], [startedAt('p1', 'prefill', FIRST_MS, 1), startedAt('d1', 'decode', FIRST_MS, 1)])
   world.send({ type: 'load_learned', load: loadOf('d1', 'decode', 30_000) })
   const reserve = only(world.send(arrival('1')), 'reserve')
   const prefill = only(world.send({ type: 'reserve_answered', key: '1', attempt: reserve.attempt, outcome: { type: 'granted' } }), 'send_prefill')
   const confirm = only(world.send({ type: 'prefill_answered', key: '1', attempt: prefill.attempt, outcome: { type: 'read', handle: 'h' } }), 'confirm')
-  tell(world, bornAt('p1', 'prefill', SECOND_MS, 2))
+  tell(world, startedAt('p1', 'prefill', SECOND_MS, 2))
   const run = only(world.send({ type: 'confirm_answered', key: '1', attempt: confirm.attempt, outcome: 'free' }), 'send_run')
   assert.is(run.source, undefined)
 })
@@ -112,16 +112,16 @@
   assert.equal([...world.state.replicas.keys()], ['a'])
 })
 
-function ledgerWithBooking (bornAtMs: number): LedgerState {
+function ledgerWithBooking (startedAtMs: number): LedgerState {
   const state = createLedgerState(1)
-  report(state, bornAtMs, 1)
+  report(state, startedAtMs, 1)
   reduceLedger(state, { type: 'memory_asked', atMs: 2, ask: { bookingId: 'b/1', requestId: 'b', promptTokens: 100, hintTokens: 10, maxOutputTokens: 10, leadMs: 500, maxWaitMs: 100, priority: 1, targetMs: 500, readsInPlace: false } })
   assert.is(state.bookings.size, 1)
   return state
 }
 
-function report (state: LedgerState, bornAtMs: number, atMs: number): ReturnType<typeof reduceLedger> {
-  return reduceLedger(state, { type: 'report_read', atMs, askedAtMs: atMs, report: { bornAtMs, stage: 'decode', usedTokens: 0, capacityTokens: 9_000, queued: 0, active: 0, isSwitching: false, runs: [] } })
+function report (state: LedgerState, startedAtMs: number, atMs: number): ReturnType<typeof reduceLedger> {
+  return reduceLedger(state, { type: 'report_read', atMs, askedAtMs: atMs, report: { startedAtMs, stage: 'decode', usedTokens: 0, capacityTokens: 9_000, queued: 0, active: 0, isSwitching: false, runs: [] } })
 }
 
 test('bookings end with the process of the replica; those that wait to be confirmed are told', () => {
@@ -137,7 +137,7 @@
   const state = ledgerWithBooking(SECOND_MS)
   report(state, FIRST_MS, 10)
   assert.is(state.bookings.size, 1)
-  assert.is(state.report?.bornAtMs, SECOND_MS)
+  assert.is(state.report?.startedAtMs, SECOND_MS)
 })
 
 test.run()
--- a/packages/bendfall-router/src/entry/BendfallRouterContext.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterContext.ts
@@ -91,13 +91,13 @@
  * @param phase - step that the request is in
  */
 export function noteSent ({ nowMs }: RouterContext, request: RequestState, belief: ReplicaBelief, phase: 'plain' | 'run'): void {
-  const { bornAtMs, replicaId } = belief.replica
+  const { startedAtMs, replicaId } = belief.replica
   request.phase = phase
   request.attempt += 1
   request.runs += 1
   request.sends += 1
   request.runAt = replicaId
-  request.sentTo = { replicaId, bornAtMs }
+  request.sentTo = { replicaId, startedAtMs }
   request.runSentAtMs = nowMs
   belief.inFlight += 1
 }
@@ -109,6 +109,6 @@
  * @param context - of the event
  * @returns whole milliseconds; undefined before the first read
  */
-export function newsAgeMs ({ nowMs, state }: RouterContext): number | undefined {
+export function registrationsAgeMs ({ nowMs, state }: RouterContext): number | undefined {
   return state.replicasCurrentAtMs === -Infinity ? undefined : Math.round(nowMs - state.replicasCurrentAtMs)
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -6,7 +6,7 @@
 import { noteFailure, noteSuccess, usableReplicas } from './BendfallRouterBelief.js'
 import { countRequest } from './BendfallRouterBudget.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { budgetOf, draw, logDecision, newsAgeMs, noteSent, remainingMs } from './BendfallRouterContext.js'
+import { budgetOf, draw, logDecision, registrationsAgeMs, noteSent, remainingMs } from './BendfallRouterContext.js'
 import { endAnswered, leaveRun } from './BendfallRouterEnd.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
 import { hasNotRun, mayRunAgain, takeRetry } from './BendfallRouterRetry.js'
@@ -43,7 +43,7 @@
   const { address, replicaId } = belief.replica
   if (request.attempt === 0) countRequest(budgetOf(context, request.service), context.nowMs)
   noteSent(context, request, belief, 'plain')
-  logDecision(context, request, 'sent', { replica: replicaId, inFlight: belief.inFlight, newsAgeMs: newsAgeMs(context), latencyMs: Math.round(belief.latencyMs), failureShare: round(belief.failureShare), attempt: request.attempt })
+  logDecision(context, request, 'sent', { replica: replicaId, inFlight: belief.inFlight, registrationsAgeMs: registrationsAgeMs(context), latencyMs: Math.round(belief.latencyMs), failureShare: round(belief.failureShare), attempt: request.attempt })
   context.effects.push({
     type: 'send_run',
     key: request.key,
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -6,7 +6,7 @@
  */
 import { noteFailure, noteSuccess } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { logDecision, newsAgeMs, remainingMs } from './BendfallRouterContext.js'
+import { logDecision, registrationsAgeMs, remainingMs } from './BendfallRouterContext.js'
 import { leavePrefill, leavePrefillSlot } from './BendfallRouterEnd.js'
 import type { PrefillOutcome, SendFailure } from './BendfallRouterEvents.js'
 import { backlogOf, planPrefill, PREFILL_CALL_MS } from './BendfallRouterPrefillPlan.js'
@@ -49,7 +49,7 @@
   request.attempt += 1
   request.sends += 1
   request.prefillAt = replicaId
-  request.sentTo = { replicaId, bornAtMs: belief.replica.bornAtMs }
+  request.sentTo = { replicaId, startedAtMs: belief.replica.startedAtMs }
   request.prefillSentAtMs = context.nowMs
   const promptTokens = request.prompt?.promptTokens ?? 0
   request.isPrefillAlone = backlogOf(belief) === 0
@@ -58,7 +58,7 @@
   belief.prefillTokens += promptTokens
   belief.prefillSinceLoad += promptTokens
   context.effects.push({ type: 'announce_prefill', replicaId, bookingId: request.prefillBookingId, promptTokens })
-  logDecision(context, request, 'prefill_sent', { replica: replicaId, leadMs: Math.round(leadMs), backlogTokens: backlogOf(belief) - promptTokens, newsAgeMs: newsAgeMs(context), attempt: request.attempt })
+  logDecision(context, request, 'prefill_sent', { replica: replicaId, leadMs: Math.round(leadMs), backlogTokens: backlogOf(belief) - promptTokens, registrationsAgeMs: registrationsAgeMs(context), attempt: request.attempt })
   context.effects.push({
     type: 'send_prefill',
     key: request.key,
@@ -89,7 +89,7 @@
     learnSpeed(context, request, tookMs)
     learnPace(belief, tookMs, request.prefillLeadMs)
     noteSuccess(belief)
-    request.handle = { replicaId, bornAtMs: belief.replica.bornAtMs, address: belief.replica.address, handle: outcome.handle, expiresAtMs: context.nowMs + handleTtlMs }
+    request.handle = { replicaId, startedAtMs: belief.replica.startedAtMs, address: belief.replica.address, handle: outcome.handle, expiresAtMs: context.nowMs + handleTtlMs }
   }
   leavePrefill(context, request)
   logDecision(context, request, 'prefill_done', { replica: replicaId, tookMs: Math.round(tookMs) })
--- a/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
@@ -7,13 +7,13 @@
 import type { Replica } from '../BendfallRouterTypes.js'
 import { createBelief, isLeaving } from './BendfallRouterBelief.js'
 import type { RouterContext } from './BendfallRouterContext.js'
-import { endFormerLife } from './BendfallRouterRestarts.js'
+import { endFormerIncarnation } from './BendfallRouterRestarts.js'
 import type { RouterState } from './BendfallRouterState.js'
 
 /**
  * Takes a registration. Of those at one address only the latest counts; of 43
  * failed sends of a day with crashes 40 went to the registration of a former
- * replica. Of those under one id the latest life counts, and the latest write of it.
+ * replica. Of those under one id the latest incarnation counts, and the latest write of it.
  *
  * @param context - of the event
  * @param replica - as registered
@@ -25,14 +25,14 @@
   if (known !== undefined && isOutdated(replica, known.replica)) return
   if (isForeign(state, replica)) return noteForeign(context, replica)
   state.foreign.delete(replicaId)
-  if (known !== undefined && isSameLife(replica, known.replica)) {
+  if (known !== undefined && isSameIncarnation(replica, known.replica)) {
     const { isDraining, stage } = known.replica
     known.replica = replica
     known.isMissing = false
     if (isDraining !== replica.isDraining || stage !== replica.stage) logLearned(context, replica)
     return
   }
-  endFormerLife(context, replica)
+  endFormerIncarnation(context, replica)
   if (!takeAddress(context, replica)) return
   state.replicas.set(replicaId, createBelief(replica))
   logLearned(context, replica)
@@ -47,22 +47,22 @@
   for (const replica of [...context.state.foreign.values()]) learnReplica(context, replica)
 }
 
-function logLearned ({ effects }: RouterContext, { bornAtMs, isDraining, replicaId, revision, service, stage }: Replica): void {
-  effects.push({ type: 'log', decision: 'replica_learned', requestId: '', inputs: { replica: replicaId, service, stage, isDraining, revision, bornAtMs } })
+function logLearned ({ effects }: RouterContext, { startedAtMs, isDraining, replicaId, revision, service, stage }: Replica): void {
+  effects.push({ type: 'log', decision: 'replica_learned', requestId: '', inputs: { replica: replicaId, service, stage, isDraining, revision, startedAtMs } })
 }
 
 // Watches and full reads overlap, and a process that has ended may still be told of.
 function isOutdated (replica: Replica, known: Replica): boolean {
-  if (replica.bornAtMs !== undefined && known.bornAtMs !== undefined && replica.bornAtMs !== known.bornAtMs) return replica.bornAtMs < known.bornAtMs
+  if (replica.startedAtMs !== undefined && known.startedAtMs !== undefined && replica.startedAtMs !== known.startedAtMs) return replica.startedAtMs < known.startedAtMs
   return replica.revision < known.revision
 }
 
 // Where the platform does not tell the start of a process, a registration that was made
 // anew and counts its heartbeats from the start again tells it, as does a new address. One
 // that only lapsed in an outage goes on counting.
-function isSameLife (replica: Replica, known: Replica): boolean {
+function isSameIncarnation (replica: Replica, known: Replica): boolean {
   if (replica.address !== known.address) return false
-  if (replica.bornAtMs !== undefined && known.bornAtMs !== undefined) return replica.bornAtMs === known.bornAtMs
+  if (replica.startedAtMs !== undefined && known.startedAtMs !== undefined) return replica.startedAtMs === known.startedAtMs
   return replica.registeredAtRevision === known.registeredAtRevision || replica.heartbeats >= known.heartbeats
 }
 
@@ -120,14 +120,14 @@
   const { state } = context
   const holder = [...state.replicas.values()].find((belief) => belief.replica.address === replica.address)?.replica
   if (holder === undefined || state.decisions.addresses === 'all') return true
-  const isLater = isLaterLife(replica, holder)
+  const isLater = isLaterIncarnation(replica, holder)
   if (isLater) replace(context, holder, replica)
   else replace(context, replica, holder)
   return isLater
 }
 
-function isLaterLife (one: Replica, other: Replica): boolean {
-  if (one.bornAtMs !== undefined && other.bornAtMs !== undefined && one.bornAtMs !== other.bornAtMs) return one.bornAtMs > other.bornAtMs
+function isLaterIncarnation (one: Replica, other: Replica): boolean {
+  if (one.startedAtMs !== undefined && other.startedAtMs !== undefined && one.startedAtMs !== other.startedAtMs) return one.startedAtMs > other.startedAtMs
   return one.registeredAtRevision > other.registeredAtRevision
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
@@ -15,7 +15,7 @@
  * @param context - of the event
  * @param replica - as its new process, or one that was not known, registered
  */
-export function endFormerLife (context: RouterContext, replica: Replica): void {
+export function endFormerIncarnation (context: RouterContext, replica: Replica): void {
   const { effects, state } = context
   const wasKnown = state.replicas.delete(replica.replicaId)
   if (wasKnown) forgetOrders(context, replica)
@@ -25,7 +25,7 @@
     if (request.handle !== undefined && isFormer(request.handle, replica)) request.handle = undefined
   }
   if (!wasKnown && ended === 0) return
-  effects.push({ type: 'log', decision: 'replica_restarted', requestId: '', inputs: { replica: replica.replicaId, bornAtMs: replica.bornAtMs, ended } })
+  effects.push({ type: 'log', decision: 'replica_restarted', requestId: '', inputs: { replica: replica.replicaId, startedAtMs: replica.startedAtMs, ended } })
 }
 
 // The order ended with the process that had it.
@@ -46,6 +46,6 @@
 }
 
 // Without the word of the platform two processes under one id are not told apart here.
-function isFormer (one: { readonly replicaId: string, readonly bornAtMs?: number }, { bornAtMs, replicaId }: Replica): boolean {
-  return one.replicaId === replicaId && one.bornAtMs !== undefined && bornAtMs !== undefined && one.bornAtMs < bornAtMs
+function isFormer (one: { readonly replicaId: string, readonly startedAtMs?: number }, { startedAtMs, replicaId }: Replica): boolean {
+  return one.replicaId === replicaId && one.startedAtMs !== undefined && startedAtMs !== undefined && one.startedAtMs < startedAtMs
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -6,7 +6,7 @@
 import { isLeaving, noteFailure, noteSuccess } from './BendfallRouterBelief.js'
 import { countRequest } from './BendfallRouterBudget.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { budgetOf, logDecision, newsAgeMs, noteSent, remainingMs } from './BendfallRouterContext.js'
+import { budgetOf, logDecision, registrationsAgeMs, noteSent, remainingMs } from './BendfallRouterContext.js'
 import { endAnswered, leaveHandle, leaveReservation, leaveRun } from './BendfallRouterEnd.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
 import { readInPlaceMs } from './BendfallRouterReading.js'
@@ -44,7 +44,7 @@
   noteSent(context, request, belief, 'run')
   request.handle = undefined
   request.triedHandle = handle
-  logDecision(context, request, 'sent', { replica: replicaId, prefillAt: handle?.replicaId, inFlight: belief.inFlight, newsAgeMs: newsAgeMs(context), attempt: request.attempt, lastEventId: request.lastEventId })
+  logDecision(context, request, 'sent', { replica: replicaId, prefillAt: handle?.replicaId, inFlight: belief.inFlight, registrationsAgeMs: registrationsAgeMs(context), attempt: request.attempt, lastEventId: request.lastEventId })
   context.effects.push({
     type: 'send_run',
     key: request.key,
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -18,7 +18,7 @@
 export interface PrefillResult {
   readonly replicaId: string
   /** Start of the process that holds it; see {@link Replica}. */
-  readonly bornAtMs?: number
+  readonly startedAtMs?: number
   /** `ip:port` of the replica that holds it. */
   readonly address: string
   readonly handle: string
@@ -88,7 +88,7 @@
   /** Result that went with the last send. */
   triedHandle?: PrefillResult
   /** Process of a replica that the last send went to. */
-  sentTo?: { readonly replicaId: string, readonly bornAtMs?: number }
+  sentTo?: { readonly replicaId: string, readonly startedAtMs?: number }
   /** Replica that the request was sent to run at. */
   runAt?: string
   runSentAtMs?: number
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedgerReport.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerReport.ts
@@ -20,19 +20,19 @@
 const GROWTH_TOKENS = 192
 
 /** Which run of the replica's process a report tells of, against that of the last report. */
-export type ReportLife = 'same' | 'new' | 'former'
+export type ReportIncarnation = 'same' | 'new' | 'former'
 
 /**
- * Compares the life of a report with that of the last one.
+ * Compares the incarnation of a report with that of the last one.
  *
  * @param state - of the ledger
  * @param report - of the replica
  * @returns `same` where the platform does not tell the start of replicas
  */
-export function lifeOf (state: LedgerState, { bornAtMs }: ReplicaReport): ReportLife {
-  const knownAtMs = state.report?.bornAtMs
-  if (knownAtMs === undefined || bornAtMs === undefined || knownAtMs === bornAtMs) return 'same'
-  return bornAtMs > knownAtMs ? 'new' : 'former'
+export function incarnationOf (state: LedgerState, { startedAtMs }: ReplicaReport): ReportIncarnation {
+  const knownAtMs = state.report?.startedAtMs
+  if (knownAtMs === undefined || startedAtMs === undefined || knownAtMs === startedAtMs) return 'same'
+  return startedAtMs > knownAtMs ? 'new' : 'former'
 }
 
 /**
@@ -42,7 +42,7 @@
  * @param state - changed in place
  * @param effects - refusals of confirmations are added
  */
-export function forgetFormerLife (state: LedgerState, effects: LedgerEffect[]): void {
+export function forgetFormerIncarnation (state: LedgerState, effects: LedgerEffect[]): void {
   for (const { bookingId, confirm } of state.bookings.values()) {
     if (confirm !== undefined) effects.push({ type: 'confirmed', bookingId, isFree: false })
   }
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedgerState.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerState.ts
@@ -17,7 +17,7 @@
 /** What the replica reports of itself. */
 export interface ReplicaReport {
   /** Start of the replica's process, Unix time; absent where the platform does not tell it. */
-  readonly bornAtMs?: number
+  readonly startedAtMs?: number
   readonly stage: ReplicaStage
   /** Memory that is occupied and can't yield. */
   readonly usedTokens: number
