--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -48,7 +48,7 @@
     const absence = { replica: one.replica, fromMs: performance.now(), untilMs: undefined as number | undefined }
     away.push(absence)
     await sleep(AWAY_MS)
-    absence.untilMs = performance.now()
+    absence.untilMs ??= performance.now()
     one.replica.restart()
     one.register('ready')
     return `${one.replicaId} ${state}`
@@ -80,8 +80,10 @@
     proxy.reset()
     return proxy.address
   },
-  restart: async ({ models, plain }, draw) => {
+  restart: async ({ away, models, plain }, draw) => {
     const one = draw([...models, ...plain])
+    // A process that starts again and says that it is ready leaves no longer.
+    for (const absence of away) if (absence.replica === one.replica) absence.untilMs ??= performance.now()
     one.replica.restart()
     one.register('ready')
     return one.replicaId
