--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesForeign.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesForeign.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert'
 import { startFleetReplica } from '../../fleet/BendfallFakesFleetReplica.js'
 import { startFleetProxy } from '../../fleet/soak/BendfallFakesFleetProxy.js'
-import { call, CALLERS, inScene, registrationOf } from './EntryScene.js'
+import { call, CALLERS, inScene, ip, registrationOf } from './EntryScene.js'
 
 /** Until the entry has heard of a write. */
 const HEARD_MS = 100
@@ -61,7 +61,7 @@
   hidden.harm('silent')
   const answer = call({ ...CALLERS, path: '/r/1', id: 'hangs' })
   await sleep(HEARD_MS)
-  const successor = await startFleetReplica({ host: '127.0.8.13', replicaId: 'i-leaves' })
+  const successor = await startFleetReplica({ host: ip(13), replicaId: 'i-leaves' })
   scene.store.put('servers/i-leaves', registrationOf(successor, { born: 2_000 }))
   const startedMs = performance.now()
   assert.is(await answer, 200)
--- a/packages/bendfall-fakes/src/__tests__/unit/EntryScene.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/EntryScene.ts
@@ -12,9 +12,22 @@
 import { startFleetProxy } from '../../fleet/soak/BendfallFakesFleetProxy.js'
 
 const HOST = 'rates.example'
+const SUBNETS = 250
+
+/**
+ * Loopback addresses of this process alone, so that tests may run side by side.
+ *
+ * @param last - last number of the address
+ * @returns the address
+ */
+export function ip (last: number): string {
+  const subnet = process.pid
+  return `127.${1 + subnet % SUBNETS}.${1 + Math.floor(subnet / SUBNETS) % SUBNETS}.${last}`
+}
+
 /** Where the entry takes calls. */
-export const CALLERS = { host: '127.0.8.2', port: 17_381 }
-const READY = { host: '127.0.8.2', port: 17_382 }
+export const CALLERS = { host: ip(2), port: 17_381 }
+const READY = { host: ip(2), port: 17_382 }
 
 const CALL_PAUSE_MS = 10
 
@@ -56,10 +69,10 @@
 }
 
 async function startScene (): Promise<Scene> {
-  const store = await startFleetStore('127.0.8.1')
+  const store = await startFleetStore(ip(1))
   const storeProxy = await startFleetProxy(store.address)
-  const stays = await startFleetReplica({ host: '127.0.8.11', replicaId: 'i-stays', answerMs: STAYING_ANSWER_MS })
-  const leaves = await startFleetReplica({ host: '127.0.8.12', replicaId: 'i-leaves' })
+  const stays = await startFleetReplica({ host: ip(11), replicaId: 'i-stays', answerMs: STAYING_ANSWER_MS })
+  const leaves = await startFleetReplica({ host: ip(12), replicaId: 'i-leaves' })
   store.put('op/config', CONFIG)
   store.put('servers/i-stays', registrationOf(stays))
   store.put('servers/i-leaves', registrationOf(leaves))
