Hear of changes in a row together, and read all keys again every 30 s

Cause: a watch ends with each change and the next one is asked at once. In a fleet of 84 replicas and 68 entries the store got 330 calls a second, its largest price there. Change: three changes are heard at once; those that go on coming are heard together, every 0.35 of the time after which a change must be known. The wait of the watch after a pause is shorter by the pause, so that a silent connection is noticed as early as before. The full read without a cause comes every 30 s in place of 8 s: revisions tell that nothing was missed.

--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -96,40 +96,40 @@
     loop.dispatch({ type: 'replicas_missing', replicaIds: keys.map(dialect.readReplicaId) })
   }
 
-  return combineTeardowns([
-    followPrefix({
-      port,
-      clock: loop.clock,
-      prefix: dialect.configPrefix,
-      boundMs: configApplyMs,
-      listener: {
-        onPresent: takeConfig,
-        // The last configuration stays in force.
-        onGone: () => {},
-        onMissing: () => {},
-        onCurrent: (staleMs) => noteStaleness(dialect.configPrefix, configApplyMs, staleMs),
-        onReachable
-      }
-    }),
-    followPrefix({
-      port,
-      clock: loop.clock,
-      prefix: dialect.replicaPrefix,
-      boundMs: drainMs,
-      listener: {
-        onPresent: takeReplicas,
-        onGone: (keys) => {
-          for (const key of keys) unreadable.delete(key)
-          loop.dispatch({ type: 'replicas_changed', present: [], gone: keys.map(dialect.readReplicaId) })
-          onChange()
-        },
-        onMissing: takeMissing,
-        onCurrent: (staleMs) => {
-          noteStaleness(dialect.replicaPrefix, drainMs, staleMs)
-          loop.dispatch({ type: 'replicas_current' })
-        },
-        onReachable: () => {}
-      }
-    })
-  ])
+  const configs = followPrefix({
+    port,
+    clock: loop.clock,
+    prefix: dialect.configPrefix,
+    boundMs: configApplyMs,
+    listener: {
+      onPresent: takeConfig,
+      // The last configuration stays in force.
+      onGone: () => {},
+      onMissing: () => {},
+      onCurrent: (staleMs) => noteStaleness(dialect.configPrefix, configApplyMs, staleMs),
+      onReachable
+    }
+  })
+  const registrations = followPrefix({
+    port,
+    clock: loop.clock,
+    prefix: dialect.replicaPrefix,
+    boundMs: drainMs,
+    listener: {
+      onPresent: takeReplicas,
+      onGone: (keys) => {
+        for (const key of keys) unreadable.delete(key)
+        loop.dispatch({ type: 'replicas_changed', present: [], gone: keys.map(dialect.readReplicaId) })
+        onChange()
+      },
+      onMissing: takeMissing,
+      onCurrent: (staleMs) => {
+        noteStaleness(dialect.replicaPrefix, drainMs, staleMs)
+        loop.dispatch({ type: 'replicas_current' })
+      },
+      onReachable: () => {}
+    }
+  })
+
+  return combineTeardowns([configs.close, registrations.close])
 }
--- a/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
@@ -18,11 +18,28 @@
 const WATCH_WAIT_SHARE = 0.5
 const WATCH_SLACK_SHARE = 0.3
 
+/**
+ * Share of that time from one watch to the next when the first one told a change, so that
+ * changes that come one after the other are told together: in a fleet of 84 replicas some
+ * registration changed three times a second, and each of 68 entries asked as often. What
+ * changes meanwhile is known within this share of the bound.
+ */
+const BATCH_SHARE = 0.35
+
+/** Changes that are told at once before they are told together: one that comes alone waits for nothing. */
+const AT_ONCE = 3
+
+/** Shortest wait of a watch: less would be a read. */
+const SHORTEST_WAIT_MS = 50
+
 /** A watch that answers this much later than asked was held up. */
 const LATE_WATCH_MS = 500
 
-/** Between two full reads without a cause. */
-const REREAD_MS = 8_000
+/**
+ * Between two full reads without a cause. Revisions already tell that nothing was missed;
+ * of a fleet of 68 entries that read all every 8 s, these were 17 calls a second.
+ */
+const REREAD_MS = 30_000
 
 /** Pauses after failed calls. */
 const FIRST_PAUSE_MS = 50
@@ -56,16 +73,24 @@
   readonly listener: FollowListener
 }
 
+/** A prefix that is followed. */
+export interface Follower {
+  /** Reads all keys now, beside the watches; tells the listener what it read. */
+  readonly refresh: () => Promise<void>
+  readonly close: Teardown
+}
+
 /**
  * Starts to follow a prefix.
  *
  * @param options - service, prefix and listener
- * @returns teardown
+ * @returns the follower
  */
-export function followPrefix (options: FollowOptions): Teardown {
+export function followPrefix (options: FollowOptions): Follower {
   const { boundMs, clock, listener, port, prefix } = options
   const watchWaitMs = boundMs * WATCH_WAIT_SHARE
   const watchSlackMs = boundMs * WATCH_SLACK_SHARE
+  const batchMs = boundMs * BATCH_SHARE
   const ended = new AbortController()
   const known = new Set<string>()
   let tried = 0
@@ -73,6 +98,8 @@
   let returnedAtMs = -Infinity
   let fullReadAtMs = -Infinity
   let currentAtMs = clock.nowMs()
+  let credit = AT_ONCE
+  let creditAtMs = clock.nowMs()
 
   function noteCurrent (): void {
     listener.onCurrent(clock.nowMs() - currentAtMs)
@@ -133,10 +160,19 @@
     return isConfirmed ? regularMs : Math.min(regularMs, returnedAtMs + RETURN_MS - clock.nowMs())
   }
 
+  // Time until the next watch after a change.
+  function spendCredit (): number {
+    credit = Math.min(AT_ONCE, credit + (clock.nowMs() - creditAtMs) / batchMs) - 1
+    creditAtMs = clock.nowMs()
+    return Math.max(0, -credit * batchMs)
+  }
+
   async function watchFrom (first: number): Promise<void> {
     for (let revision = first; !ended.signal.aborted && readDueInMs() > 0;) {
       const askedAtMs = clock.nowMs()
-      const waitMs = Math.ceil(Math.min(watchWaitMs, readDueInMs()))
+      // Counted from the last answer, so that a pause before the watch prolongs nothing.
+      const leftMs = currentAtMs + watchWaitMs - askedAtMs
+      const waitMs = Math.ceil(Math.max(SHORTEST_WAIT_MS, Math.min(leftMs, readDueInMs())))
       const outcome = await port.watch(prefix, revision, waitMs, watchSlackMs)
       if (outcome.type === 'unavailable') return noteFailure(outcome.detail)
       if (outcome.type === 'history_lost') return
@@ -147,6 +183,8 @@
         takeGone(outcome.deletedKeys)
       }
       noteCurrent()
+      const pauseMs = outcome.type === 'changed' ? Math.min(spendCredit(), readDueInMs()) : 0
+      if (pauseMs > 0) await pause(clock, pauseMs, ended.signal)
     }
   }
 
@@ -159,5 +197,5 @@
   }
 
   run().catch((error: unknown) => { throw error })
-  return () => ended.abort()
+  return { close: () => ended.abort(), refresh: async () => { await readAll() } }
 }
