Balance the pools of the whole fleet

One sick replica stopped all changes, and one replica changed at a time whatever the size. Change: the holder asks 12 ledgers each half second, those first that it asked longest ago, and takes their mean for their pool; up to a twentieth may be away, and a twentieth (one at least) changes at once. A new holder waits until half of the loads, or a dozen, are known.

--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -4,17 +4,30 @@
  *
  * @module
  */
+import type { ReplicaLoad, ReplicaStage } from '../BendfallRouterTypes.js'
 import { balancePools } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolMember, PoolWork } from '../pools/BendfallRouterPoolBalance.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
+import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
-import { isUsed } from './BendfallRouterSubset.js'
 
 /** Weight of the newest reading of the work: with two readings a second the last twelve seconds count, more than a burst lasts. */
 const WORK_WEIGHT = 0.04
 
+/** Replicas whose loads are asked at once: 24 calls a second, whatever the fleet. */
+const ASKED_AT_ONCE = 12
+
+/** Loads are asked again after this; the work is an average of twelve seconds. */
+const ASK_AGAIN_MS = 450
+
+/** Loads that are older tell nothing of the work: 84 replicas are asked in 3.5 s. */
+const MEASURED_MS = 5_000
+
+/** Share of the replicas whose loads must be known before pools change; a dozen suffice. */
+const LEAST_MEASURED_SHARE = 0.5
+
 /** Beyond the time that a change takes, until its effect on the work is seen. */
 const SETTLE_MS = 4_000
 
@@ -34,19 +47,38 @@
   const { state } = context
   for (const service of state.config?.services ?? []) {
     if (service.engine === undefined) continue
-    const beliefs = [...state.replicas.values()].filter(({ replica }) => replica.service === service.name && replica.stage !== 'plain' && isUsed(state, replica))
-    const work = measure(context, service.name, beliefs)
-    if (event.fence === undefined || state.poolIntent === undefined || state.decisions.pools === 'as_found' || beliefs.length === 0) continue
-    const switchMs = service.engine.switchMs === 0 ? FIRST_SWITCH_MS : service.engine.switchMs
-    if (!hasLostOrders(context, service.name) && context.nowMs < (state.nextOrderAtMs.get(service.name) ?? -Infinity)) continue
-    const changes = balancePools(beliefs.map((belief) => toMember(context, belief)), work, state.poolIntent)
-    for (const change of changes) order(context, change.replicaId, change.stage, event.fence, work)
-    if (changes.length === 0) continue
-    state.nextOrderAtMs.set(service.name, context.nowMs + switchMs + SETTLE_MS)
-    state.orderedReplicas.set(service.name, changes.map(({ replicaId }) => replicaId))
+    if (event.fence === undefined || state.poolIntent === undefined || state.decisions.pools === 'as_found') {
+      // The next time that this process holds the lease it measures anew.
+      state.poolWork.delete(service.name)
+      continue
+    }
+    balanceService(context, service.name, service.engine.switchMs, event.fence, state.poolIntent)
   }
 }
 
+function balanceService (context: RouterContext, service: string, switchMs: number, fence: number, intent: PoolIntent): void {
+  const { nowMs, state } = context
+  const beliefs = [...state.replicas.values()].filter(({ replica }) => replica.service === service && replica.stage !== 'plain')
+  askSome(context, beliefs)
+  const measured = beliefs.filter(({ load, loadAtMs }) => load !== undefined && nowMs - loadAtMs < MEASURED_MS)
+  const work = measure(context, service, beliefs, measured)
+  if (beliefs.length === 0 || (measured.length < beliefs.length * LEAST_MEASURED_SHARE && measured.length < ASKED_AT_ONCE)) return
+  if (!hasLostOrders(context, service) && nowMs < (state.nextOrderAtMs.get(service) ?? -Infinity)) return
+  const changes = balancePools(beliefs.map((belief) => toMember(context, belief)), work, intent)
+  for (const change of changes) order(context, change.replicaId, change.stage, fence, work)
+  if (changes.length === 0) return
+  state.nextOrderAtMs.set(service, nowMs + (switchMs === 0 ? FIRST_SWITCH_MS : switchMs) + SETTLE_MS)
+  state.orderedReplicas.set(service, changes.map(({ replicaId }) => replicaId))
+}
+
+// Those that were asked longest ago. A part of a large fleet tells as much of its pools
+// as all of it, and asking all of 1,200 would take an instance of its own.
+function askSome ({ effects, nowMs }: RouterContext, beliefs: readonly ReplicaBelief[]): void {
+  const due = beliefs.filter(({ ledgerDownUntilMs, loadAtMs }) => ledgerDownUntilMs <= nowMs && nowMs - loadAtMs >= ASK_AGAIN_MS)
+  const oldest = due.sort((a, b) => a.loadAtMs - b.loadAtMs).slice(0, ASKED_AT_ONCE)
+  if (oldest.length > 0) effects.push({ type: 'ask_loads', replicaIds: oldest.map(({ replica }) => replica.replicaId) })
+}
+
 /**
  * Notes the answer to an order.
  *
@@ -79,19 +111,15 @@
     replicaId: replica.replicaId,
     availabilityZone: replica.availabilityZone,
     stage: stageOf(belief),
-    isServing: load?.isHealthy === true && !isLeaving(state, belief) && suspectUntilMs <= nowMs
+    // One that was not asked yet counts as well.
+    isServing: load?.isHealthy !== false && !isLeaving(state, belief) && suspectUntilMs <= nowMs
   }
 }
 
-function measure ({ state }: RouterContext, service: string, beliefs: readonly ReplicaBelief[]): PoolWork {
-  const now = { prefill: 0, decode: 0 }
-  for (const belief of beliefs) {
-    const { load } = belief
-    if (load === undefined) continue
-    if (stageOf(belief) === 'prefill') now.prefill += load.backlogTokens > 0 ? 1 : 0
-    else if (load.capacityTokens > 0) now.decode += 1 - (load.roomTokens[0] ?? 0) / load.capacityTokens
-  }
-  const former = state.poolWork.get(service) ?? { prefill: 0, decode: 0 }
+// The mean of those that were measured stands for all of their pool.
+function measure ({ state }: RouterContext, service: string, beliefs: readonly ReplicaBelief[], measured: readonly ReplicaBelief[]): PoolWork {
+  const now = { prefill: meanWork(measured, 'prefill') * countOf(beliefs, 'prefill'), decode: meanWork(measured, 'decode') * countOf(beliefs, 'decode') }
+  const former = state.poolWork.get(service) ?? now
   const work = {
     prefill: former.prefill + WORK_WEIGHT * (now.prefill - former.prefill),
     decode: former.decode + WORK_WEIGHT * (now.decode - former.decode)
@@ -100,6 +128,20 @@
   return work
 }
 
+function countOf (beliefs: readonly ReplicaBelief[], stage: ReplicaStage): number {
+  return beliefs.filter((belief) => stageOf(belief) === stage).length
+}
+
+function meanWork (measured: readonly ReplicaBelief[], stage: ReplicaStage): number {
+  const works = measured.filter((belief) => stageOf(belief) === stage).map(({ load }) => load === undefined ? 0 : workOf(load, stage))
+  return works.length === 0 ? 0 : works.reduce((sum, work) => sum + work, 0) / works.length
+}
+
+function workOf ({ backlogTokens, capacityTokens, roomTokens }: ReplicaLoad, stage: ReplicaStage): number {
+  if (stage === 'prefill') return backlogTokens > 0 ? 1 : 0
+  return capacityTokens > 0 ? 1 - (roomTokens[0] ?? 0) / capacityTokens : 0
+}
+
 function round (value: number): number {
   return Math.round(value * 100) / 100
 }
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -40,6 +40,23 @@
 /** Fewest replicas of each pool. */
 const FEWEST = 1
 
+/**
+ * Share of the replicas that may be away, sick or changing while others change. In a
+ * fleet of less than twenty each one that is away is a large part of its pool and is
+ * back within seconds; of 84 one is sick at most times, and waiting for it would stop
+ * all changes.
+ */
+const AWAY_SHARE = 0.05
+
+/**
+ * Share of the replicas that change at once, since each is away for seconds: one of
+ * twelve, four of 84. With one at a time 84 replicas followed a shift after minutes.
+ */
+const STEP_SHARE = 0.05
+
+/** Share of the replicas within which a gain is looked for: one replica of 84 is no clear gain, ten may be. */
+const REACH_SHARE = 0.12
+
 /**
  * Decides about a service's pools.
  *
@@ -53,11 +70,12 @@
   if (serving.length < 2 * FEWEST) return []
   const refill = emptyPool(members)
   if (refill !== undefined) return pick(serving, 1).map(({ replicaId }) => ({ replicaId, stage: refill }))
-  if (serving.length < members.length) return []
+  if (members.length - serving.length > Math.floor(members.length * AWAY_SHARE)) return []
   const prefills = serving.filter(({ stage }) => stage === 'prefill')
   const isIdle = work.prefill + work.decode < NO_WORK
   // Rounded down: decode replicas can read prompts themselves, and nothing stands in for their memory.
-  const aim = isIdle ? clampPrefills(Math.floor(serving.length * intent.usualPrefillShare), serving.length, intent) : aimOneStep(prefills.length, serving.length, work, intent)
+  const goal = isIdle ? clampPrefills(Math.floor(serving.length * intent.usualPrefillShare), serving.length, intent) : goalUnderLoad(prefills.length, serving.length, work, intent)
+  const aim = stepTowards(prefills.length, goal, serving.length, STEP_SHARE)
   const surplus = prefills.length - aim
   if (surplus > 0) return pick(prefills, surplus).map(({ replicaId }) => ({ replicaId, stage: 'decode' }))
   const decodes = serving.filter(({ stage }) => stage === 'decode')
@@ -73,13 +91,19 @@
   return stages.has('prefill') ? undefined : 'prefill'
 }
 
-// Under load one replica changes at a time, and only for a clear gain.
-function aimOneStep (prefills: number, total: number, work: PoolWork, intent: PoolIntent): number {
+// Only for a clear gain.
+function goalUnderLoad (prefills: number, total: number, work: PoolWork, intent: PoolIntent): number {
   const present = busierLoad(prefills, total, work)
   if (present < WORTHWHILE_LOAD) return prefills
-  const options = [prefills - 1, prefills + 1].filter((option) => clampPrefills(option, total, intent) === option)
-  const best = options.sort((a, b) => busierLoad(a, total, work) - busierLoad(b, total, work))[0]
-  return best !== undefined && busierLoad(best, total, work) < present - WORTHWHILE_GAIN ? best : prefills
+  const even = Math.round(total * work.prefill / (work.prefill + work.decode))
+  const goal = stepTowards(prefills, clampPrefills(even, total, intent), total, REACH_SHARE)
+  return busierLoad(goal, total, work) < present - WORTHWHILE_GAIN ? goal : prefills
+}
+
+// At least one, so that small fleets change too.
+function stepTowards (present: number, goal: number, total: number, share: number): number {
+  const most = Math.max(1, Math.floor(total * share))
+  return present + Math.max(-most, Math.min(most, goal - present))
 }
 
 function busierLoad (prefills: number, total: number, work: PoolWork): number {
