--- a/packages/bendfall-edge/src/BendfallEdgeDialect.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeDialect.ts
@@ -136,6 +136,8 @@
 
 /** Entries of the platform's key-value service. */
 export interface DirectoryDialect {
+  /** Begins the keys of both of the following, so that one watch tells all changes. */
+  readonly sharedPrefix: string
   readonly configPrefix: string
   readonly replicaPrefix: string
   /** @returns the configuration, or what is wrong with the entry */
--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -20,7 +20,7 @@
   readonly port: KeyValuePort
   readonly dialect: DirectoryDialect
   readonly logger: Logger
-  /** Called when replicas were read for the first time, whether there are any or not. */
+  /** Called when the registrations were read, whether there are any or not. */
   readonly onReplicas: () => void
   /** Called after a configuration was taken. */
   readonly onConfig: () => void
@@ -47,9 +47,10 @@
  */
 export function registerDirectory (options: DirectoryOptions): Teardown {
   const { configApplyMs, dialect, drainMs, logger, loop, metrics, onChange, onConfig, onReplicas, port } = options
-  const noteStaleness = (prefix: string, boundMs: number, staleMs: number): void => {
-    metrics.measureMs('bendfall_directory_staleness_milliseconds', staleMs, { prefix })
-    if (staleMs > boundMs * STALE_SHARE) logger.warn('directory_was_stale', { prefix, staleMs: Math.round(staleMs) })
+  const boundMs = Math.min(configApplyMs, drainMs)
+  const noteStaleness = (staleMs: number): void => {
+    metrics.measureMs('bendfall_directory_staleness_milliseconds', staleMs)
+    if (staleMs > boundMs * STALE_SHARE) logger.warn('directory_was_stale', { staleMs: Math.round(staleMs) })
   }
   const unreadable = new Map<string, string>()
   const onReachable = (isReachable: boolean, detail: string): void => {
@@ -77,7 +78,6 @@
       noteReadable(entry, replica.isOk() ? undefined : replica.error)
     }
     loop.dispatch({ type: 'replicas_changed', present, gone })
-    onReplicas()
     onChange()
   }
 
@@ -93,58 +93,60 @@
     logger.warn('replica_unreadable', { key, revision, detail })
   }
 
-  function takeMissing (keys: readonly string[], returnedMs: number): void {
+  function takeMissing (replicaIds: readonly string[], returnedMs: number): void {
     metrics.count('bendfall_registrations_missing_total')
-    logger.info('registrations_missing', { keys: keys.join(','), returnedMs: Math.round(returnedMs) })
-    loop.dispatch({ type: 'replicas_missing', replicaIds: keys.map(dialect.readReplicaId) })
+    logger.info('registrations_missing', { replicas: replicaIds.join(','), returnedMs: Math.round(returnedMs) })
+    loop.dispatch({ type: 'replicas_missing', replicaIds })
   }
 
-  const configs = followPrefix({
+  const replicaIdsOf = (keys: readonly string[]): string[] =>
+    keys.filter((key) => key.startsWith(dialect.replicaPrefix)).map(dialect.readReplicaId)
+
+  // One watch for both: with a watch each, two of three calls of an idle entry were for
+  // configurations, which change some times a minute.
+  const follower = followPrefix({
     port,
     clock: loop.clock,
-    prefix: dialect.configPrefix,
-    boundMs: configApplyMs,
+    prefix: dialect.sharedPrefix,
+    boundMs,
     listener: {
-      onPresent: takeConfig,
+      onPresent: (entries) => {
+        const configs = entries.filter(({ key }) => key.startsWith(dialect.configPrefix))
+        const registrations = entries.filter(({ key }) => key.startsWith(dialect.replicaPrefix))
+        if (configs.length > 0) takeConfig(configs)
+        if (registrations.length > 0) takeReplicas(registrations)
+      },
       // The last configuration stays in force.
-      onGone: () => {},
-      onMissing: () => {},
-      onCurrent: (staleMs) => noteStaleness(dialect.configPrefix, configApplyMs, staleMs),
-      onReachable
-    }
-  })
-  const registrations = followPrefix({
-    port,
-    clock: loop.clock,
-    prefix: dialect.replicaPrefix,
-    boundMs: drainMs,
-    listener: {
-      onPresent: takeReplicas,
       onGone: (keys) => {
         for (const key of keys) unreadable.delete(key)
-        loop.dispatch({ type: 'replicas_changed', present: [], gone: keys.map(dialect.readReplicaId) })
+        const gone = replicaIdsOf(keys)
+        if (gone.length === 0) return
+        loop.dispatch({ type: 'replicas_changed', present: [], gone })
         onChange()
       },
-      onMissing: takeMissing,
+      onMissing: (keys, returnedMs) => {
+        const replicaIds = replicaIdsOf(keys)
+        if (replicaIds.length > 0) takeMissing(replicaIds, returnedMs)
+      },
       onCurrent: (staleMs) => {
-        noteStaleness(dialect.replicaPrefix, drainMs, staleMs)
+        noteStaleness(staleMs)
         loop.dispatch({ type: 'replicas_current' })
+        onReplicas()
       },
-      onReachable: () => {}
+      onReachable
     }
   })
 
   // Without an answer in time the requests go on with what was known: the service is away.
   async function refresh (): Promise<void> {
     const waited = new AbortController()
-    await Promise.race([registrations.refresh(), pause(loop.clock, REFRESH_WAIT_MS, waited.signal)])
+    await Promise.race([follower.refresh(), pause(loop.clock, REFRESH_WAIT_MS, waited.signal)])
     waited.abort()
     loop.dispatch({ type: 'replicas_refreshed' })
   }
 
   return combineTeardowns([
-    configs.close,
-    registrations.close,
+    follower.close,
     loop.registerEffect('refresh_replicas', () => {
       refresh().catch((error: unknown) => logger.error('refresh_failed', { error }))
     })
