--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLoadAsks.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLoadAsks.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setMaxListeners } from 'node:events'
 import { callUnary, pause } from 'bendfall-node'
 import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { LedgerService } from 'bendfall-protocol'
@@ -31,6 +32,8 @@
   const asked = new Map<string, Promise<void>>()
   const lost = new Set<string>()
   const ended = new AbortController()
+  // Each call under way listens.
+  setMaxListeners(0, ended.signal)
 
   function noteAnswered (replicaId: string): void {
     if (lost.delete(replicaId)) logger.info('ledger_regained', { replica: replicaId })
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -26,6 +26,8 @@
   platform: 'node',
   target: 'node20',
   format: 'esm',
+  // Every process parses the whole bundle at its start.
+  minifyWhitespace: true,
   sourcemap: 'linked',
   plugins: [workspaceSources],
   // Some dependencies are CommonJS and ask for Node's own modules.
