--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -18,6 +18,27 @@
   }
 }
 
+/**
+ * Parts of libraries that the processes use, in place of their whole index: a process
+ * of a small instance parses and runs all of the bundle before it serves.
+ */
+const USED_PARTS = {
+  undici: `
+    export { default as Agent } from 'undici/lib/dispatcher/agent.js'
+    export { default as Client } from 'undici/lib/dispatcher/client.js'
+    export { default as buildConnector } from 'undici/lib/core/connect.js'`,
+  'hdr-histogram-js': "export { build } from 'hdr-histogram-js/dist/HistogramBuilder.js'"
+}
+
+/** Takes the used parts of libraries only. A name that they lack fails the build. */
+const usedParts = {
+  name: 'used-parts',
+  setup (bundler) {
+    bundler.onResolve({ filter: /^(undici|hdr-histogram-js)$/ }, ({ path }) => ({ path, namespace: 'used-parts' }))
+    bundler.onLoad({ filter: /.*/, namespace: 'used-parts' }, ({ path }) => ({ contents: USED_PARTS[path], resolveDir: ROOT }))
+  }
+}
+
 await build({
   absWorkingDir: ROOT,
   entryPoints: ['packages/bendfall/src/BendfallPlatformMain.ts'],
@@ -29,7 +50,7 @@
   // Every process parses the whole bundle at its start.
   minifyWhitespace: true,
   sourcemap: 'linked',
-  plugins: [workspaceSources],
+  plugins: [workspaceSources, usedParts],
   // Some dependencies are CommonJS and ask for Node's own modules.
   banner: { js: "import { createRequire as bendfallRequire } from 'node:module'; const require = bendfallRequire(import.meta.url);" },
   logLevel: 'warning'
