A ledger that stood still grants nothing by an old report

Cause: after a freeze the ledger held a report of before it, whose age only made it take the running answers for longer, and took an answer that lay in its connection for fresh. Change: a report that was asked for more than a second ago tells nothing, and while the last one is older nothing is granted until another came. All reports reach the ledger now: leaving out those that repeat the last one saved wake-ups of followers, of which there are none any more.

--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
@@ -77,7 +77,7 @@
     failures = 0
     if (incarnationOf(state(), report) !== 'same') logger.info('replica_restarted', { address: replicaAddress, formerStartedAtMs: state().report?.startedAtMs, startedAtMs: report.startedAtMs })
     logger.debug('report', { ...report, runs: report.runs.length })
-    if (isNews(state(), report)) loop.dispatch({ type: 'report_read', report, askedAtMs })
+    loop.dispatch({ type: 'report_read', report, askedAtMs })
   }
 
   async function follow (): Promise<void> {
@@ -113,13 +113,6 @@
   return state.bookings.size + state.waiting.length + state.lastRuns.size > 0 || (state.report?.active ?? 0) > 0
 }
 
-// An idle replica's report that repeats the last one wakes no entry.
-function isNews (state: LedgerState, report: EngineReport): boolean {
-  const { report: last } = state
-  if (!state.isHealthy || last === undefined || isBusy(state) || report.active > 0 || report.queued > 0) return true
-  return last.startedAtMs !== report.startedAtMs || last.stage !== report.stage || last.isSwitching !== report.isSwitching || last.capacityTokens !== report.capacityTokens
-}
-
 function readReport (pool: ConnectionPool, dialect: ReplicaDialect, clock: Clock): Promise<EngineReport | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterLedger.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterLedger.test.ts
@@ -193,4 +193,19 @@
   assert.is(state.crowdedSinceMs, undefined)
 })
 
+test('a ledger that stood still grants nothing by what it knew before', () => {
+  const state = createLedger()
+  const effects = reduceLedger(state, { type: 'memory_asked', atMs: 4_000, ask: askOf('a', 4_000) })
+  assert.equal(effects, [{ type: 'read_report' }])
+  const full = reportOf([{ requestId: 'x', tokensInMemory: 8_000, eventsMade: 5 }])
+  assert.equal(send(state, { type: 'report_read', atMs: 4_010, askedAtMs: 4_005, report: full }), [])
+  assert.equal(send(state, { type: 'report_read', atMs: 4_500, askedAtMs: 4_495, report: reportOf([]) }), [{ type: 'answer', bookingId: 'a/1', isGranted: true, retryAfterMs: 0 }])
+})
+
+test('a report that lay in the connection of a ledger that stood still tells nothing', () => {
+  const state = createLedger([{ requestId: 'x', tokensInMemory: 8_000, eventsMade: 5 }])
+  assert.equal(send(state, { type: 'report_read', atMs: 5_000, askedAtMs: 1_000, report: reportOf([]) }), [])
+  assert.is(state.report?.usedTokens, 8_000)
+})
+
 test.run()
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
@@ -11,7 +11,7 @@
 import { roomByHorizon } from './BendfallRouterForecast.js'
 import { expectedOutput, forecastOf, freeTokens } from './BendfallRouterLedgerMemory.js'
 import { giveUpWaiting, grantWaiting, takeAsk } from './BendfallRouterLedgerQueue.js'
-import { confirmWaiting, dropUnseen, forgetFormerIncarnation, incarnationOf, takeReport } from './BendfallRouterLedgerReport.js'
+import { confirmWaiting, dropUnseen, forgetFormerIncarnation, incarnationOf, isOld, takeReport } from './BendfallRouterLedgerReport.js'
 import { backlogTokens } from './BendfallRouterLedgerSlots.js'
 import type { LedgerEffect, LedgerEvent, LedgerState } from './BendfallRouterLedgerState.js'
 import { createOutputModel } from './BendfallRouterOutputModel.js'
@@ -53,6 +53,7 @@
     giveUpWaiting(state, effects)
   },
   report_read: (state, event, effects) => {
+    if (isOld(event.askedAtMs, event.atMs)) return
     const incarnation = incarnationOf(state, event.report)
     if (incarnation === 'former') return
     if (incarnation === 'new') forgetFormerIncarnation(state, effects)
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedgerQueue.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerQueue.ts
@@ -7,6 +7,7 @@
 import { delayUntilFit, fits } from './BendfallRouterForecast.js'
 import { dueMs, followCrowd, isCrowded, isLate, longestDelayMs, retryAfterMs } from './BendfallRouterLedgerCrowd.js'
 import { forecastOf, forecastWithWaiting, freeTokens, toOccupant } from './BendfallRouterLedgerMemory.js'
+import { isOld } from './BendfallRouterLedgerReport.js'
 import { canRead, hasSlot, isPrefill, slotDelayMs } from './BendfallRouterLedgerSlots.js'
 import type { LedgerEffect, LedgerState, MemoryAsk, Waiting } from './BendfallRouterLedgerState.js'
 
@@ -70,8 +71,10 @@
  */
 export function grantWaiting (state: LedgerState, nowMs: number, effects: LedgerEffect[]): void {
   const left: Waiting[] = []
+  const isUnsure = state.report !== undefined && isOld(state.lastReportAtMs, nowMs)
+  if (isUnsure && state.waiting.length > 0) effects.push({ type: 'read_report' })
   for (const ask of inOrder(state, nowMs)) {
-    const isBlocked = left.length > 0
+    const isBlocked = isUnsure || left.length > 0
     if (!isBlocked && hasRoom(state, ask, nowMs)) grant(state, ask, nowMs, effects, isPrefill(state) ? nowMs + SLOT_KEPT_MS : undefined)
     else if (isOver(state, ask, nowMs)) refuse(state, ask, 0, nowMs, effects)
     else left.push(ask)
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedgerReport.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerReport.ts
@@ -22,6 +22,9 @@
 /** Which run of the replica's process a report tells of, against that of the last report. */
 export type ReportIncarnation = 'same' | 'new' | 'former'
 
+/** Reports of an idle replica are 300 ms apart, and one that is 400 ms late has failed. */
+const OLD_REPORT_MS = 1_000
+
 /**
  * Compares the incarnation of a report with that of the last one.
  *
@@ -127,6 +130,19 @@
   return tokens
 }
 
+/**
+ * Tells whether what was learned of the replica is too old to grant memory by. A process
+ * that stood still finds the answer of before in its connection, and asks of entries that
+ * have given up.
+ *
+ * @param learnedAtMs - when the replica was asked
+ * @param nowMs - the time
+ * @returns true when only a fresh report may decide
+ */
+export function isOld (learnedAtMs: number, nowMs: number): boolean {
+  return nowMs - learnedAtMs > OLD_REPORT_MS
+}
+
 /**
  * Drops bookings whose run the replica never showed, and slots that were not used.
  *
