--- a/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
@@ -5,17 +5,18 @@
  * @module
  */
 import type { Prompt } from '../BendfallRouterTypes.js'
-import { ROOM_HORIZONS_MS } from '../BendfallRouterTypes.js'
 import { noteLedgerLost } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
-import { draw, logDecision } from './BendfallRouterContext.js'
+import { logDecision } from './BendfallRouterContext.js'
 import { leaveReservation } from './BendfallRouterEnd.js'
 import { startHold, takeHold } from './BendfallRouterHold.js'
 import type { HoldOutcome, ReserveOutcome } from './BendfallRouterEvents.js'
 import { askLoads, knownReplicas } from './BendfallRouterLoads.js'
+import { chooseOption, expectedTokens, hintOf } from './BendfallRouterMemoryOptions.js'
+import type { MemoryOption } from './BendfallRouterMemoryOptions.js'
 import { planPrefill } from './BendfallRouterPrefillPlan.js'
 import { canReadNow, FIRST_EVENT_MS, readInPlaceMs } from './BendfallRouterReading.js'
-import type { ReplicaBelief, RequestState } from './BendfallRouterState.js'
+import type { RequestState } from './BendfallRouterState.js'
 
 /** Ledgers asked for one request before it is refused. */
 const MAX_REFUSALS = 3
@@ -32,25 +33,12 @@
 /** Told to all callers where the settings switch foreseen waits off. */
 const FIXED_RETRY_MS = 1_000
 
-/** Share of a replica's memory that one entry uses when no ledger answers: others do the same. */
-const BLIND_SHARE = 0.5
-
-/** Memory of a replica whose ledger never answered: below every engine of the users. */
-const FIRST_CAPACITY_TOKENS = 30_000
-
 /** Kept of a caller's patience for errors of the forecast. */
 const PATIENCE_MARGIN_MS = 600
 
 /** Margin before the result of a prefill lapses. */
 const HANDLE_MARGIN_MS = 120
 
-interface Option {
-  readonly belief: ReplicaBelief
-  /** Until the memory is likely to be free; infinite beyond the last horizon. */
-  readonly waitMs: number
-  readonly roomTokens: number
-}
-
 /**
  * Asks the ledger of the decode replica that is likely to have room first.
  *
@@ -67,7 +55,7 @@
 function reserveReader (context: RouterContext, request: RequestState): NextStep {
   const readers = knownReplicas(context, request, 'decode').filter((belief) => canReadNow(belief, request))
   if (readers.length === 0) return readApart(context, request)
-  const best = chooseOption(context, readers.map((belief) => toOption(context, belief, expectedTokens(request))))
+  const best = chooseOption(context, request, readers)
   return best === undefined || best.waitMs > 0 ? readApart(context, request) : ask(context, request, best, 0, 0)
 }
 
@@ -77,7 +65,7 @@
   const plan = planPrefill(context, request)
   const leadMs = request.handle !== undefined ? 0 : plan?.leadMs ?? 0
   const maxWaitMs = longestWaitMs(context, request, leadMs)
-  const best = chooseOption(context, decodes.map((belief) => toOption(context, belief, expectedTokens(request))))
+  const best = chooseOption(context, request, decodes)
   if (best === undefined || maxWaitMs < 0 || best.waitMs > maxWaitMs + leadMs) {
     return refuseMemory(context, request, Math.min(best?.waitMs ?? Infinity, request.retryAfterMs ?? Infinity), 'no_memory')
   }
@@ -150,7 +138,7 @@
   return refuseMemory(context, request, request.retryAfterMs ?? SHORTEST_RETRY_MS, 'no_memory')
 }
 
-function ask (context: RouterContext, request: RequestState, option: Option, leadMs: number, maxWaitMs: number): NextStep {
+function ask (context: RouterContext, request: RequestState, option: MemoryOption, leadMs: number, maxWaitMs: number): NextStep {
   const { belief } = option
   const prompt = request.prompt as Prompt
   const { address, replicaId } = belief.replica
@@ -238,42 +226,3 @@
 function givenUpAtMs ({ arrivedAtMs, brokenOffAtMs, deadlineAtMs, route }: RequestState): number {
   return Math.min((brokenOffAtMs ?? arrivedAtMs) + route.patienceMs, deadlineAtMs)
 }
-
-function expectedTokens ({ prompt }: RequestState): number {
-  return prompt === undefined ? 0 : prompt.promptTokens + hintOf(prompt)
-}
-
-function hintOf ({ maxOutputTokens, outputHintTokens }: Prompt): number {
-  return Math.min(maxOutputTokens, outputHintTokens ?? maxOutputTokens)
-}
-
-function toOption (context: RouterContext, belief: ReplicaBelief, tokens: number): Option {
-  const { load } = belief
-  if (load === undefined || belief.ledgerDownUntilMs > context.nowMs) {
-    return { belief, waitMs: hasBlindRoom(belief, tokens) ? 0 : Infinity, roomTokens: -belief.ownTokens }
-  }
-  const index = load.roomTokens.findIndex((room) => room - belief.bookedSinceLoad >= tokens)
-  const waitMs = index < 0 ? Infinity : ROOM_HORIZONS_MS[index] as number
-  return { belief, waitMs, roomTokens: (load.roomTokens[Math.max(0, index)] ?? 0) - belief.bookedSinceLoad }
-}
-
-// Without a ledger's word an entry goes by its own bookings alone.
-function hasBlindRoom (belief: ReplicaBelief, tokens: number): boolean {
-  const capacity = belief.load?.capacityTokens ?? FIRST_CAPACITY_TOKENS
-  return belief.ownTokens + tokens <= BLIND_SHARE * capacity
-}
-
-function chooseOption (context: RouterContext, options: readonly Option[]): Option | undefined {
-  const start = Math.floor(draw(context.state) * options.length)
-  let best: Option | undefined
-  for (let i = 0; i < options.length; i++) {
-    const option = options[(start + i) % options.length] as Option
-    if (best === undefined || isBetter(option, best)) best = option
-  }
-  return context.state.decisions.replica === 'random' ? options[start] : best
-}
-
-function isBetter (one: Option, other: Option): boolean {
-  if (one.waitMs !== other.waitMs) return one.waitMs < other.waitMs
-  return one.roomTokens > other.roomTokens
-}
