Ask no ledger about memory that the replica itself holds

Cause: a ledger that came back while the prompt was read knew no booking, so the request was taken for one without memory and its prompt read in vain. The test failed first.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterHold.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterHold.test.ts
@@ -31,6 +31,14 @@
   assert.ok(!typesOf(world.send({ type: 'answer_complete', key: '1', attempt: run.attempt, status: 200, outputEvents: 1 })).includes('drop_hold'))
 })
 
+test('a ledger that is back while the prompt is read is not asked about memory that it did not book', () => {
+  const world = modelWorld()
+  const prefill = only(answer(world, askHold(world), { type: 'held', holdId: 'h1' }), 'send_prefill')
+  world.wait(2_000)
+  const effects = world.send({ type: 'prefill_answered', key: '1', attempt: prefill.attempt, outcome: { type: 'read', handle: 'x' } })
+  assert.is(only(effects, 'send_run').holdId, 'h1')
+})
+
 test('a replica without room is not asked again; when none has room the caller is refused at once', () => {
   const world = modelWorld()
   const first = askHold(world)
--- a/packages/bendfall-router/src/entry/BendfallRouterConfirm.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterConfirm.ts
@@ -22,7 +22,8 @@
  */
 export function startConfirm (context: RouterContext, request: RequestState): NextStep {
   const belief = context.state.replicas.get(request.reservedAt ?? '')
-  const isBlind = context.state.decisions.confirm === 'none' || (belief?.ledgerDownUntilMs ?? Infinity) > context.nowMs
+  // Memory that the replica itself holds is free; its ledger, back meanwhile, knows no booking.
+  const isBlind = context.state.decisions.confirm === 'none' || request.hold !== undefined || (belief?.ledgerDownUntilMs ?? Infinity) > context.nowMs
   if (isBlind || belief === undefined || request.handle === undefined || request.bookingId === undefined) return { type: 'run' }
   request.phase = 'confirm'
   request.attempt += 1
