Log answers whose end only their connection told, and the error that ends a process

Cause: the hypotheses of the incident can't be told apart: nothing said how an answer was framed, nor, in the log of an entry, why its process ended. Change: a line and a counter for each answer without a length, a counter of garbled answers, a line before the process exits on an uncaught error. No change of what callers get.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -96,7 +96,14 @@
     dialect: dialect.replica,
     exchanges,
     poolOf: pools.at,
-    onGarbled: (requestId, detail) => logger.warn('answer_garbled', { request: requestId, detail })
+    onGarbled: (requestId, detail) => {
+      metrics.count('bendfall_answers_garbled_total')
+      logger.warn('answer_garbled', { request: requestId, detail })
+    },
+    onEndedWithConnection: ({ requestId, ...answer }) => {
+      metrics.count('bendfall_answers_without_length_total')
+      logger.info('answer_without_length', { request: requestId, ...answer })
+    }
   }))
   teardowns.push(registerHolds({ loop, dialect: dialect.replica, poolOf: pools.at }))
   registerAnswers(loop, exchanges)
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -18,11 +18,15 @@
   readonly body?: Buffer
 }
 
+/** What tells the end of an answer's body (RFC 9112, section 6.3). */
+export type AnswerFraming = 'length' | 'chunked' | 'connection'
+
 /** Takes what comes of a call; after `onEnd` or `onFail` nothing more comes. */
 export interface ReplicaCallListener {
   readonly onHead: (status: number, headers: IncomingHttpHeaders) => void
   readonly onChunk: (chunk: Buffer) => void
-  readonly onEnd: () => void
+  /** @param framing - what told the end of the answer */
+  readonly onEnd: (framing: AnswerFraming) => void
   /** @param isSent - whether bytes of the request may have reached the replica */
   readonly onFail: (error: Error, isSent: boolean) => void
 }
@@ -55,7 +59,7 @@
   const connection = pool.take()
   let controller: Dispatcher.DispatchController | undefined
   let isOver = false
-  let endsWithConnection = false
+  let framing: AnswerFraming = 'length'
 
   function finish (): boolean {
     if (isOver) return false
@@ -70,7 +74,7 @@
     },
     onResponseStart: (_, status, headers) => {
       if (isOver || status < FIRST_FINAL_STATUS) return
-      endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+      framing = framingOf(headers)
       listener.onHead(status, headers)
     },
     onResponseData: (_, chunk) => {
@@ -78,8 +82,8 @@
     },
     onResponseEnd: () => {
       if (!finish()) return
-      if (endsWithConnection && connection.wasReset()) return listener.onFail(new ResetAnswerError('connection reset within an answer without a length'), true)
-      listener.onEnd()
+      if (framing === 'connection' && connection.wasReset()) return listener.onFail(new ResetAnswerError('connection reset within an answer without a length'), true)
+      listener.onEnd(framing)
       // The client is free only once this handler has returned.
       setImmediate(() => pool.giveBack(connection))
     },
@@ -100,6 +104,11 @@
   }
 }
 
+function framingOf (headers: IncomingHttpHeaders): AnswerFraming {
+  if (headers['transfer-encoding'] !== undefined) return 'chunked'
+  return headers['content-length'] === undefined ? 'connection' : 'length'
+}
+
 function dispatch ({ client }: Connection, request: ReplicaCallRequest, handler: Dispatcher.DispatchHandler): void {
   client.dispatch({
     method: request.method as Dispatcher.HttpMethod,
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -33,6 +33,16 @@
   readonly poolOf: (address: string) => ConnectionPool
   /** Told of answers that are not what a replica should send. */
   readonly onGarbled: (requestId: string, detail: string) => void
+  /** Told of answers whose end only their connection told: nothing else shows whether they are whole. */
+  readonly onEndedWithConnection: (answer: UnframedAnswer) => void
+}
+
+/** An answer that has neither a length nor chunks. */
+export interface UnframedAnswer {
+  readonly requestId: string
+  readonly address: string
+  readonly status: number
+  readonly bodyBytes: number
 }
 
 interface Send {
@@ -125,6 +135,7 @@
   const split = createEventSplitter()
   const chunks: Buffer[] = []
   let heldBytes = 0
+  let bodyBytes = 0
   let status = 0
   let headers: IncomingHttpHeaders = {}
   let isRelaying = false
@@ -192,13 +203,15 @@
     },
     onChunk: (chunk) => {
       if (isOver) return
+      bodyBytes += chunk.length
       if (effect.isStream && status < 300) relayEvents(chunk)
       else if (isRelaying) relay(chunk)
       else hold(chunk)
     },
-    onEnd: () => {
+    onEnd: (framing) => {
       if (isOver) return
       isOver = true
+      if (framing === 'connection') options.onEndedWithConnection({ requestId: exchange.caller.requestId, address: effect.address, status, bodyBytes })
       const send = sends.get(key)
       send?.cancelTimeout()
       if (!isRelaying && send !== undefined) send.held = { status, headers, body: Buffer.concat(chunks) }
--- a/packages/bendfall/src/BendfallPlatformMain.ts
+++ b/packages/bendfall/src/BendfallPlatformMain.ts
@@ -73,6 +73,7 @@
   if (settings === undefined) return
   const output = createLogOutput(process.stdout)
   const logger = createLogger({ level: settings.log?.level ?? 'info', base: { instance: settings.instanceId }, write: output.write })
+  logUncaught(logger)
   const metrics = createMetrics()
   metrics.gauge('bendfall_log_lines_dropped_total', output.dropped)
   const metricsServer = createMetricsServer(metrics)
@@ -89,6 +90,15 @@
   })
 }
 
+// An error that nobody caught ends the process, as Node does by itself; the line tells why,
+// in the log where the cut answers are looked for.
+function logUncaught (logger: Logger): void {
+  process.once('uncaughtException', (error) => {
+    logger.error('process_failed', { error })
+    process.exit(EXIT_FAILED)
+  })
+}
+
 // Every setting belongs to the process's place on the platform, which does not
 // change while it runs; what may change comes with the configuration.
 function reload (logger: Logger): void {
