Pass on all bytes of a stream, and take no half event for its end

Cause: only whole events are passed on, so that another replica can go on behind them; at the end of the answer what was left in the splitter was dropped, and the answer ended as complete. Change: bytes behind the last empty line are passed on at an end that a length or a last chunk tells. Where only the connection ended, a stream that stops within an event, or before its first, is a failure: it is resumed where that is allowed, else cut. The kernel closes in order what a dying replica has open, so an orderly end vouches for nothing.

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeEventSplitter.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeEventSplitter.test.ts
@@ -5,12 +5,12 @@
 test('only whole events go on, whatever the chunks', () => {
   const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c'
   for (const size of [1, 3, 7, 100]) {
-    const split = createEventSplitter()
+    const splitter = createEventSplitter()
     let passed = ''
     let lastEventId: string | undefined
     let count = 0
     for (let at = 0; at < text.length; at += size) {
-      const whole = split(Buffer.from(text.slice(at, at + size)))
+      const whole = splitter.take(Buffer.from(text.slice(at, at + size)))
       passed += whole.bytes.toString()
       lastEventId = whole.lastEventId
       count = whole.count
@@ -18,6 +18,7 @@
     assert.is(passed, 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n')
     assert.is(lastEventId, '2')
     assert.is(count, 2)
+    assert.is(splitter.tail().toString(), 'id: 3\ndata: c')
   }
 })
 
--- a/packages/bendfall-edge/src/replica/BendfallEdgeEventSplitter.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeEventSplitter.ts
@@ -14,6 +14,14 @@
   readonly count: number
 }
 
+/** Cuts a stream. */
+export interface EventSplitter {
+  /** Takes a chunk and gives the events that it completes; what follows them is kept for the next one. */
+  readonly take: (chunk: Buffer) => WholeEvents
+  /** What followed the last whole event so far. */
+  readonly tail: () => Buffer
+}
+
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const ID_LINE = /^id: ?(.*)$/
@@ -21,15 +29,14 @@
 /**
  * Makes a splitter.
  *
- * @returns takes a chunk and gives the events that it completes; what follows
- * them is kept for the next chunk
+ * @returns the splitter
  */
-export function createEventSplitter (): (chunk: Buffer) => WholeEvents {
+export function createEventSplitter (): EventSplitter {
   let rest: Buffer = Buffer.alloc(0)
   let lastEventId: string | undefined
   let count = 0
 
-  return (chunk) => {
+  function take (chunk: Buffer): WholeEvents {
     const text = rest.length === 0 ? chunk : Buffer.concat([rest, chunk])
     let end = 0
     for (let at = findEventEnd(text, 0); at > 0; at = findEventEnd(text, end)) {
@@ -40,6 +47,8 @@
     rest = Buffer.from(text.subarray(end))
     return { bytes: text.subarray(0, end), lastEventId, count }
   }
+
+  return { take, tail: () => rest }
 }
 
 // An event ends with an empty line.
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -12,7 +12,7 @@
 import type { Exchange, HeldAnswer } from '../caller/BendfallEdgeExchange.js'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { createEventSplitter } from './BendfallEdgeEventSplitter.js'
-import type { ReplicaCall, ReplicaCallListener } from './BendfallEdgeReplicaCall.js'
+import type { AnswerFraming, ReplicaCall, ReplicaCallListener } from './BendfallEdgeReplicaCall.js'
 import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
 
 /** Answers up to this size are held whole before the caller gets them, so that a broken one can be repeated. */
@@ -132,7 +132,7 @@
 function createRunListener (options: SendOptions, effect: SendRun, exchange: Exchange, sends: Map<string, Send>): ReplicaCallListener {
   const { attempt, key } = effect
   const { dialect, loop } = options
-  const split = createEventSplitter()
+  const splitter = createEventSplitter()
   const chunks: Buffer[] = []
   let heldBytes = 0
   let bodyBytes = 0
@@ -178,7 +178,7 @@
   }
 
   function relayEvents (chunk: Buffer): void {
-    const events = split(chunk)
+    const events = splitter.take(chunk)
     lastEventId = events.lastEventId ?? lastEventId
     outputEvents = events.count
     const nowMs = loop.clock.nowMs()
@@ -187,6 +187,23 @@
     relay(events.bytes)
   }
 
+  // Whether a stream that only its connection ended was broken off. An orderly end of a
+  // connection vouches for nothing: the kernel closes so what a replica that dies has open.
+  // Behind a whole event nobody can tell; within one, or before the first, it is no answer.
+  function isBrokenOff (framing: AnswerFraming): boolean {
+    if (!isEventStream() || framing !== 'connection') return false
+    return splitter.tail().length > 0 || (outputEvents === 0 && effect.lastEventId === undefined)
+  }
+
+  function breakOff (): void {
+    options.onGarbled(exchange.caller.requestId, `stream broken off ${splitter.tail().length} bytes behind its last whole event`)
+    fail('unknown')
+  }
+
+  function isEventStream (): boolean {
+    return effect.isStream && status < 300
+  }
+
   function hold (chunk: Buffer): void {
     chunks.push(chunk)
     heldBytes += chunk.length
@@ -204,13 +221,16 @@
     onChunk: (chunk) => {
       if (isOver) return
       bodyBytes += chunk.length
-      if (effect.isStream && status < 300) relayEvents(chunk)
+      if (isEventStream()) relayEvents(chunk)
       else if (isRelaying) relay(chunk)
       else hold(chunk)
     },
     onEnd: (framing) => {
       if (isOver) return
+      if (isBrokenOff(framing)) return breakOff()
       isOver = true
+      // Bytes that no empty line closed are the replica's as well.
+      relay(splitter.tail())
       if (framing === 'connection') options.onEndedWithConnection({ requestId: exchange.caller.requestId, address: effect.address, status, bodyBytes })
       const send = sends.get(key)
       send?.cancelTimeout()
