Fuzz the replicas' side at the level of bytes

Answers that were not whole were seen on sockets only, and the stand-ins speak through an HTTP server that frames each answer well. Raw replicas now answer by seeded scripts: framed by length, chunks or the connection's end, broken off in order or by reset, doubled, early, in pieces. They know what they sent; raw callers on kept connections, some slow, some leaving, are judged by it.

Seen: resets taken for the end of an answer, an uncaught assertion of the HTTP client, streams without their tail, answers that never end, handles and holds of other requests, refusals of requests that ran.

--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersCaller.ts
@@ -0,0 +1,144 @@
+/**
+ * A caller on a kept connection, which may read slowly or leave.
+ *
+ * @module
+ */
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { createResponseReader } from './BendfallFakesAnswersResponses.js'
+import type { ReadAnswer, ResponseReader } from './BendfallFakesAnswersResponses.js'
+
+/** A call. */
+export interface AnswersCall {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly requestId: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+  /** Pause after each piece that is read; 0: none. */
+  readonly readPauseMs: number
+  /** Leaves after this time; absent: never. */
+  readonly leavesAfterMs?: number
+}
+
+/** What became of a call. */
+export interface CallOutcome {
+  /** `left`: the caller closed the connection; `silent`: no end came in time. */
+  readonly end: 'broken' | 'complete' | 'left' | 'silent'
+  readonly answer: ReadAnswer
+}
+
+/** A caller. */
+export interface AnswersCaller {
+  readonly call: (call: AnswersCall) => Promise<CallOutcome>
+  /** Bytes that came without a request. */
+  readonly unasked: () => readonly string[]
+  readonly close: () => void
+}
+
+/** A call without an end by then is a violation: routes allow 4 s. */
+const LONGEST_CALL_MS = 7_000
+
+/** Pauses of a slow reader: with 10 ms each, 8 MB in pieces of 64 KB take 1.3 s. */
+const MOST_PAUSES = 200
+
+interface Pending {
+  readonly call: AnswersCall
+  readonly reader: ResponseReader
+  pauses: number
+  readonly finish: (end: CallOutcome['end'], answer: ReadAnswer) => void
+}
+
+/**
+ * Makes a caller.
+ *
+ * @param address - host and port of the entry
+ * @returns the caller; it connects with its first call
+ */
+export function createAnswersCaller (address: { readonly host: string, readonly port: number }): AnswersCaller {
+  const unasked: string[] = []
+  let socket: Socket | undefined
+  let pending: Pending | undefined
+
+  function open (): Socket {
+    // The other side's end is seen before this side ends, so that a reset can be told from it.
+    const opened = connect({ ...address, allowHalfOpen: true })
+    opened.setNoDelay(true)
+    opened.on('data', (chunk) => { if (opened === socket) read(opened, chunk) })
+    opened.on('end', () => {
+      // A connection that was reset has no remote address any more: where the reset
+      // is found together with the last bytes, no error is told.
+      ended(opened, opened.remoteAddress !== undefined)
+      opened.end()
+    })
+    opened.on('error', () => ended(opened, false))
+    opened.on('close', () => ended(opened, false))
+    return opened
+  }
+
+  function read (from: Socket, chunk: Buffer): void {
+    if (pending === undefined) {
+      unasked.push(chunk.subarray(0, 100).toString('latin1'))
+      return
+    }
+    const { call, reader } = pending
+    const rest = reader.push(chunk)
+    if (rest !== undefined) {
+      if (rest.length > 0) unasked.push(rest.subarray(0, 100).toString('latin1'))
+      return pending.finish('complete', reader.answer())
+    }
+    if (call.readPauseMs === 0 || pending.pauses >= MOST_PAUSES) return
+    pending.pauses += 1
+    from.pause()
+    setTimeout(() => from.resume(), call.readPauseMs)
+  }
+
+  function ended (which: Socket, isOrderly: boolean): void {
+    if (which !== socket) return
+    socket = undefined
+    if (pending === undefined) return
+    const answer = pending.reader.finish(isOrderly)
+    pending.finish(answer.isComplete ? 'complete' : 'broken', answer)
+  }
+
+  function call (request: AnswersCall): Promise<CallOutcome> {
+    socket ??= open()
+    const used = socket
+    return new Promise((resolve) => {
+      const timers: NodeJS.Timeout[] = []
+      const leave = (end: 'left' | 'silent'): void => {
+        const answer = pending?.reader.answer()
+        socket = undefined
+        used.destroy()
+        if (answer !== undefined) pending?.finish(end, answer)
+      }
+      pending = {
+        call: request,
+        reader: createResponseReader(),
+        pauses: 0,
+        finish: (end, answer) => {
+          pending = undefined
+          timers.forEach(clearTimeout)
+          const isKept = end === 'complete' && answer.framing !== 'connection' && answer.headers.get('connection')?.[0] !== 'close'
+          if (!isKept && socket === used) {
+            socket = undefined
+            used.destroy()
+          }
+          resolve({ end, answer })
+        }
+      }
+      timers.push(setTimeout(() => leave('silent'), LONGEST_CALL_MS))
+      if (request.leavesAfterMs !== undefined) timers.push(setTimeout(() => leave('left'), request.leavesAfterMs))
+      used.resume()
+      used.write(encodeCall(request))
+    })
+  }
+
+  return { call, unasked: () => unasked, close: () => socket?.destroy() }
+}
+
+function encodeCall ({ body, headers, method, path, requestId }: AnswersCall): Buffer {
+  const all = { ...headers, 'x-request-id': requestId, ...(method === 'POST' ? { 'content-length': String(body.length) } : {}) }
+  const lines = Object.entries(all).map(([name, value]) => `${name}: ${value}\r\n`)
+  return Buffer.concat([Buffer.from(`${method} ${path} HTTP/1.1\r\n${lines.join('')}\r\n`), body])
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersEncode.ts
@@ -0,0 +1,114 @@
+/**
+ * Bytes of scripted answers.
+ *
+ * @module
+ */
+import type { AnswerScript, AskedFor } from './BendfallFakesAnswersScript.js'
+
+/** What an answer tells of its request. */
+export interface AnswerOf {
+  readonly asked: AskedFor
+  /** As the request bore it. */
+  readonly requestId?: string
+  readonly replicaId: string
+  /** Number of the answer at its replica. */
+  readonly serial: number
+  /** Handle or hold that the answer gives. */
+  readonly given?: string
+  /** Events of a stream; absent for a plain answer. */
+  readonly events?: { readonly after: number, readonly last: number }
+}
+
+/** An answer as it goes out. */
+export interface EncodedAnswer {
+  readonly head: Buffer
+  /** Body with its framing. */
+  readonly framed: Buffer
+  /** Body without it. */
+  readonly body: Buffer
+}
+
+const REASONS: Readonly<Record<AnswerScript['status'], string>> = { 200: 'OK', 421: 'Misdirected Request', 429: 'Too Many Requests', 500: 'Internal Server Error', 503: 'Service Unavailable' }
+
+/** Statuses by which a replica says that it has not run the request. */
+const REFUSALS: ReadonlySet<number> = new Set([421, 429, 503])
+
+const NOTES: Readonly<Record<AnswerScript['note'], Buffer>> = {
+  none: Buffer.alloc(0),
+  ascii: Buffer.from('X-Note: plain\r\n'),
+  latin1: Buffer.from('X-Note: r\u00e9pliqu\u00e9\r\n', 'latin1'),
+  utf8: Buffer.from('X-Note: r\u00e9plique \u2713\r\n', 'utf8')
+}
+
+const CHUNKS = 3
+
+/** Values of the header that notes are in, as bytes. */
+export const ANSWER_NOTES: ReadonlySet<string> = new Set(Object.values(NOTES).map((line) => line.toString('latin1').slice('X-Note: '.length).trim()))
+
+/**
+ * Tells whether a status says that the request was not run.
+ *
+ * @param status - of the answer
+ * @returns whether it does
+ */
+export function isRefusal (status: number): boolean {
+  return REFUSALS.has(status)
+}
+
+/**
+ * Encodes an answer.
+ *
+ * @param script - how it is framed
+ * @param of - what it answers
+ * @returns the bytes
+ */
+export function encodeAnswer (script: AnswerScript, of: AnswerOf): EncodedAnswer {
+  const body = bodyOf(script, of)
+  return { head: headOf(script, of, body.length), framed: script.framing === 'chunked' ? inChunks(body) : body, body }
+}
+
+function headOf ({ connection, framing, note, status }: AnswerScript, { asked, replicaId, requestId }: AnswerOf, bodyBytes: number): Buffer {
+  const lines = [
+    `HTTP/1.1 ${status} ${REASONS[status]}`,
+    ...(requestId === undefined ? [] : [`X-Request-Id: ${requestId}`]),
+    ...(isRefusal(status) ? ['X-Not-Executed: 1'] : []),
+    ...(asked === 'run' && !isRefusal(status) ? [`X-Response-Stamp: ${replicaId}`] : []),
+    ...(connection === 'none' ? [] : [`Connection: ${connection}`]),
+    ...(connection === 'keep-alive' ? ['Keep-Alive: timeout=5'] : []),
+    ...(framing === 'length' ? [`Content-Length: ${bodyBytes}`] : []),
+    ...(framing === 'chunked' ? ['Transfer-Encoding: chunked'] : [])
+  ]
+  return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\n`), NOTES[note], Buffer.from('\r\n')])
+}
+
+function bodyOf (script: AnswerScript, of: AnswerOf): Buffer {
+  const { asked, events, given, replicaId, requestId, serial } = of
+  if (isRefusal(script.status)) return Buffer.from(`not run ${requestId ?? ''}`)
+  if (asked === 'prefill') return Buffer.from(JSON.stringify({ 'cache-handle': given, tokens: 1, version: 1 }))
+  if (asked === 'hold') return Buffer.from(JSON.stringify({ hold: given }))
+  if (asked !== 'run') return Buffer.from('{}')
+  if (events !== undefined && script.status === 200) return Buffer.from(eventsOf(script, requestId ?? '', events))
+  const first = `answer to ${requestId} by ${replicaId} ${serial}\n`
+  return Buffer.from(first.padEnd(script.bodyBytes, first))
+}
+
+function eventsOf ({ bodyBytes, hasComments, isLastOpen, lineEnd }: AnswerScript, requestId: string, { after, last }: { readonly after: number, readonly last: number }): string {
+  const pad = 'x'.repeat(bodyBytes)
+  let text = ''
+  for (let id = after + 1; id <= last; id++) {
+    if (hasComments) text += `: before ${id}${lineEnd}`
+    text += `id: ${id}${lineEnd}data: ${requestId} piece ${id} ${pad}${lineEnd}`
+    if (id < last || !isLastOpen) text += lineEnd
+  }
+  return text
+}
+
+function inChunks (body: Buffer): Buffer {
+  const parts: Buffer[] = []
+  const size = Math.max(1, Math.ceil(body.length / CHUNKS))
+  for (let at = 0; at < body.length; at += size) {
+    const chunk = body.subarray(at, at + size)
+    parts.push(Buffer.from(`${chunk.length.toString(16)}\r\n`), chunk, Buffer.from('\r\n'))
+  }
+  return Buffer.concat([...parts, Buffer.from('0\r\n\r\n')])
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersFleet.ts
@@ -0,0 +1,95 @@
+/**
+ * Scripted replicas of one seed, in this thread or in one of their own.
+ *
+ * @module
+ */
+import { createHash } from 'node:crypto'
+import { Worker } from 'node:worker_threads'
+import type { AnswerProfile } from './BendfallFakesAnswersProfiles.js'
+import { drawScript, drawStreamForm } from './BendfallFakesAnswersProfiles.js'
+import { createRandom } from './BendfallFakesAnswersRandom.js'
+import type { AnswersReplica, ScriptedRequest } from './BendfallFakesAnswersReplica.js'
+import { startAnswersReplica } from './BendfallFakesAnswersReplica.js'
+import type { AnswerScript } from './BendfallFakesAnswersScript.js'
+import type { AnswersTruth } from './BendfallFakesAnswersTruth.js'
+
+/** Place of a replica. */
+export interface ReplicaPlace {
+  readonly replicaId: string
+  readonly host: string
+}
+
+/** What is played. */
+export interface FleetPlan {
+  readonly seed: number
+  readonly profile: AnswerProfile
+  readonly places: readonly ReplicaPlace[]
+}
+
+/** Replicas that listen. */
+export interface AnswersFleet {
+  /** `ip:port` of each, in the order of their places. */
+  readonly addresses: readonly string[]
+  readonly truth: () => Promise<AnswersTruth>
+  readonly close: () => Promise<void>
+}
+
+const WORKER_MODULE = new URL('./BendfallFakesAnswersWorkerMain.js', import.meta.url)
+const SEED_STEP = 1_000
+
+/**
+ * Starts the replicas in this thread.
+ *
+ * @param plan - what is played
+ * @returns the replicas once they listen
+ */
+export async function startAnswersFleet (plan: FleetPlan): Promise<AnswersFleet> {
+  const replicas: AnswersReplica[] = []
+  for (const [index, place] of plan.places.entries()) {
+    replicas.push(await startAnswersReplica({ ...place, scriptOf: scriptsOf(plan, index) }))
+  }
+  return {
+    addresses: replicas.map(({ address }) => address),
+    truth: async () => {
+      const truths = replicas.map((replica) => replica.truth())
+      return { arrivals: truths.flatMap(({ arrivals }) => arrivals), garbage: truths.flatMap(({ garbage }) => garbage) }
+    },
+    close: async () => { await Promise.all(replicas.map((replica) => replica.close())) }
+  }
+}
+
+/**
+ * Starts the replicas in a thread of their own, so that they go on writing
+ * while the entry is busy.
+ *
+ * @param plan - what is played
+ * @returns the replicas once they listen
+ */
+export async function startAnswersFleetApart (plan: FleetPlan): Promise<AnswersFleet> {
+  const worker = new Worker(WORKER_MODULE, { workerData: plan })
+  const next = <T>(): Promise<T> => new Promise((resolve, reject) => {
+    worker.once('message', resolve)
+    worker.once('error', reject)
+  })
+  const addresses = await next<readonly string[]>()
+  return {
+    addresses,
+    truth: () => {
+      worker.postMessage('truth')
+      return next<AnswersTruth>()
+    },
+    close: async () => { await worker.terminate() }
+  }
+}
+
+function scriptsOf ({ profile, seed }: FleetPlan, index: number): (request: ScriptedRequest) => AnswerScript {
+  const random = createRandom(seed * SEED_STEP + index)
+  return ({ asked, isStream, requestId }) => {
+    const script = drawScript(random, profile, asked)
+    return isStream ? { ...script, ...drawStreamForm(createRandom(seedOf(requestId)), profile) } : script
+  }
+}
+
+function seedOf (requestId: string): number {
+  return createHash('sha1').update(requestId).digest().readUInt32BE()
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersFuzz.ts
@@ -0,0 +1,167 @@
+/**
+ * Fuzzer of the replicas' side: callers on kept connections, an entry that may
+ * be busy, replicas that frame, break off and double their answers by a seed.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { AnswersCall, AnswersCaller } from './BendfallFakesAnswersCaller.js'
+import { createAnswersCaller } from './BendfallFakesAnswersCaller.js'
+import { startAnswersFleet, startAnswersFleetApart } from './BendfallFakesAnswersFleet.js'
+import type { CallRecord, Violation } from './BendfallFakesAnswersJudge.js'
+import { findViolations } from './BendfallFakesAnswersJudge.js'
+import type { AnswerProfile } from './BendfallFakesAnswersProfiles.js'
+import { ANSWER_PROFILES } from './BendfallFakesAnswersProfiles.js'
+import { createRandom } from './BendfallFakesAnswersRandom.js'
+import type { Random } from './BendfallFakesAnswersRandom.js'
+import { ANSWERS_HOST, SCENE_PLACES, startAnswersScene } from './BendfallFakesAnswersScene.js'
+import type { AnswersKind } from './BendfallFakesAnswersScene.js'
+import type { AnswersTruth } from './BendfallFakesAnswersTruth.js'
+
+/** How a seed is played. */
+export interface FuzzPlan {
+  readonly seed: number
+  readonly profile: AnswerProfile
+  /** Milliseconds of each ten for which the entry's thread is kept busy. */
+  readonly busyMs: number
+  /** Whether the replicas have a thread of their own. */
+  readonly isApart: boolean
+}
+
+/** What a seed showed. */
+export interface FuzzResult {
+  readonly plan: FuzzPlan
+  readonly calls: number
+  /** Calls by status and end. */
+  readonly ends: Readonly<Record<string, number>>
+  readonly violations: readonly Violation[]
+  /** Log lines of the entry on requests with violations. */
+  readonly evidence: readonly string[]
+}
+
+const BUSY_MS = [0, 2, 5, 9] as const
+const BUSY_PERIOD_MS = 10
+const CALLERS = 8
+const CALLS_EACH = 30
+const LONGEST_MS = 4_000
+
+/** The latest second answers are on their way this long. */
+const SETTLE_MS = 350
+
+const KINDS: readonly AnswersKind[] = ['booking', 'booking', 'brief', 'rate', 'rate', 'summary']
+/** Where the calls that the entry makes for itself fail, requests are those that need them. */
+const OWN_KINDS: readonly AnswersKind[] = ['brief', 'summary']
+const PROMPT_KINDS: ReadonlySet<AnswersKind> = new Set(['brief', 'summary'])
+const REQUEST_BYTES = [0, 10, 3_000, 200_000, 600_000] as const
+const READ_PAUSES_MS = [0, 0, 0, 2, 10] as const
+const CALL_PAUSES_MS = [0, 0, 1, 10] as const
+const LEAVING_SHARE = 0.03
+const LATEST_LEAVE_MS = 60
+const CALLER_SEED = 7_919
+
+/**
+ * Tells how a seed is played: each in a row has another profile, and the load
+ * changes from row to row.
+ *
+ * @param seed - any whole number
+ * @returns the plan
+ */
+export function planOf (seed: number): FuzzPlan {
+  const profiles = ANSWER_PROFILES.length
+  const round = Math.floor(seed / profiles)
+  return {
+    seed,
+    profile: ANSWER_PROFILES[seed % profiles] as AnswerProfile,
+    busyMs: BUSY_MS[round % BUSY_MS.length] as number,
+    isApart: Math.floor(round / BUSY_MS.length) % 2 === 0
+  }
+}
+
+/**
+ * Plays a seed.
+ *
+ * @param plan - how
+ * @returns what it showed
+ */
+export async function fuzzAnswers (plan: FuzzPlan): Promise<FuzzResult> {
+  const crashes: Violation[] = []
+  const noteCrash = (error: unknown): void => { crashes.push({ type: 'crash', requestId: '', detail: error instanceof Error ? error.stack ?? error.message : String(error) }) }
+  process.on('uncaughtException', noteCrash)
+  const fleet = await (plan.isApart ? startAnswersFleetApart : startAnswersFleet)({ ...plan, places: SCENE_PLACES })
+  const scene = await startAnswersScene(SCENE_PLACES, fleet)
+  const callers = Array.from({ length: CALLERS }, () => createAnswersCaller(scene.callers))
+  const stopBusy = keepBusy(plan.busyMs)
+  const records: CallRecord[] = []
+  try {
+    const endsAtMs = performance.now() + LONGEST_MS
+    await Promise.all(callers.map((caller, index) => callOn(plan, index, caller, records, endsAtMs)))
+    await sleep(SETTLE_MS)
+    stopBusy()
+    const truth = await fleet.truth()
+    const violations = [...crashes, ...findViolations(records, truth), ...findUnasked(callers)]
+    return { plan, calls: records.length, ends: countEnds(records), violations, evidence: findEvidence(scene.lines, violations, truth) }
+  } finally {
+    stopBusy()
+    for (const caller of callers) caller.close()
+    await scene.close()
+    await fleet.close()
+    process.off('uncaughtException', noteCrash)
+  }
+}
+
+async function callOn ({ profile, seed }: FuzzPlan, index: number, caller: AnswersCaller, records: CallRecord[], endsAtMs: number): Promise<void> {
+  const random = createRandom(seed * CALLER_SEED + index)
+  for (let i = 0; i < CALLS_EACH && performance.now() < endsAtMs; i++) {
+    const kind = random.pick(profile === 'own_calls' ? OWN_KINDS : KINDS)
+    const call = drawCall(random, kind, `s${seed}-${index}-${i}`)
+    records.push({ kind, call, outcome: await caller.call(call) })
+    await sleep(random.pick(CALL_PAUSES_MS))
+  }
+}
+
+function drawCall (random: Random, kind: AnswersKind, requestId: string): AnswersCall {
+  const isRate = kind === 'rate'
+  const bytes = isRate ? 0 : random.pick(REQUEST_BYTES)
+  return {
+    method: isRate ? 'GET' : 'POST',
+    path: `/${kind}/${requestId}`,
+    requestId,
+    headers: { host: ANSWERS_HOST, 'x-deadline-ms': '5000', ...(PROMPT_KINDS.has(kind) ? { 'x-token-counts': '20,20' } : {}) },
+    body: Buffer.from(`${requestId} `.repeat(Math.ceil(bytes / (requestId.length + 1)))),
+    readPauseMs: random.pick(READ_PAUSES_MS),
+    leavesAfterMs: random.chance(LEAVING_SHARE) ? random.whole(LATEST_LEAVE_MS) : undefined
+  }
+}
+
+// What a loaded process does between two looks at its sockets.
+function keepBusy (busyMs: number): () => void {
+  if (busyMs === 0) return () => {}
+  const timer = setInterval(() => {
+    const endsAtMs = performance.now() + busyMs
+    while (performance.now() < endsAtMs) continue
+  }, BUSY_PERIOD_MS)
+  return () => clearInterval(timer)
+}
+
+function findUnasked (callers: readonly AnswersCaller[]): Violation[] {
+  return callers.flatMap((caller) => caller.unasked()).map((detail) => ({ type: 'unasked_answer', requestId: '', detail }))
+}
+
+function countEnds (records: readonly CallRecord[]): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {}
+  for (const { outcome: { answer, end } } of records) {
+    const name = `${answer.status} ${end}`
+    counts[name] = (counts[name] ?? 0) + 1
+  }
+  return counts
+}
+
+function findEvidence (lines: readonly string[], violations: readonly Violation[], { arrivals }: AnswersTruth): string[] {
+  const ids = new Set(violations.map(({ requestId }) => requestId).filter((requestId) => requestId !== ''))
+  const onConnections = arrivals.filter(({ requestId }) => ids.has(requestId)).map(({ connection, replicaId }) => `${replicaId}/${connection}`)
+  const neighbours = arrivals.filter(({ connection, replicaId }) => onConnections.includes(`${replicaId}/${connection}`))
+  return [
+    ...lines.filter((line) => [...ids].some((requestId) => line.includes(`request=${requestId} `))),
+    ...neighbours.map(({ asked, atMs, connection, hasRun, replicaId, requestId, script }) => `${replicaId}/${connection} ${Math.round(atMs)} ${asked} ${requestId} ${hasRun ? 'ran' : 'not run'} ${script}`)
+  ]
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersJudge.ts
@@ -0,0 +1,142 @@
+/**
+ * Judges what callers got by what replicas know.
+ *
+ * @module
+ */
+import { STREAM_EVENTS } from './BendfallFakesAnswersReplica.js'
+import type { AnswersCall, CallOutcome } from './BendfallFakesAnswersCaller.js'
+import { ANSWER_NOTES, isRefusal } from './BendfallFakesAnswersEncode.js'
+import type { ReadAnswer } from './BendfallFakesAnswersResponses.js'
+import type { AnswersKind } from './BendfallFakesAnswersScene.js'
+import type { AnswersTruth, Arrival } from './BendfallFakesAnswersTruth.js'
+import { digestOf } from './BendfallFakesAnswersTruth.js'
+
+/** A promise that was broken. */
+export type ViolationClass =
+  | 'changed_header' | 'crash' | 'cut_looks_complete' | 'foreign_answer' | 'foreign_handle' | 'foreign_hold' | 'handle_reused' | 'other_request_sent' | 'other_status'
+  | 'ran_twice' | 'refused_and_ran' | 'reset_looks_complete' | 'silent' | 'stream_pieces' | 'stream_tail_dropped' | 'unasked_answer' | 'unsigned'
+
+/** A broken promise and its evidence. */
+export interface Violation {
+  readonly type: ViolationClass
+  readonly requestId: string
+  readonly detail: string
+}
+
+/** A call and what became of it. */
+export interface CallRecord {
+  readonly kind: AnswersKind
+  readonly call: AnswersCall
+  readonly outcome: CallOutcome
+}
+
+/** Kinds that run once at most. */
+const ONCE: ReadonlySet<AnswersKind> = new Set(['booking', 'summary'])
+const STREAMS: ReadonlySet<AnswersKind> = new Set(['brief', 'summary'])
+
+/** Statuses that promise that the request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+/**
+ * Finds broken promises.
+ *
+ * @param records - calls
+ * @param truth - what replicas know
+ * @returns what was broken
+ */
+export function findViolations (records: readonly CallRecord[], truth: AnswersTruth): readonly Violation[] {
+  const byRequest = new Map<string, Arrival[]>()
+  for (const arrival of truth.arrivals) byRequest.set(arrival.requestId, [...byRequest.get(arrival.requestId) ?? [], arrival])
+  return [
+    ...records.flatMap((record) => judge(record, byRequest.get(record.call.requestId) ?? [])),
+    ...judgeMemory(truth),
+    ...truth.garbage.map((detail) => ({ type: 'other_request_sent' as const, requestId: '', detail }))
+  ]
+}
+
+function judge ({ call, kind, outcome }: CallRecord, arrivals: readonly Arrival[]): Violation[] {
+  const { answer, end } = outcome
+  const found: Array<readonly [ViolationClass, string]> = []
+  const runs = arrivals.filter(({ hasRun }) => hasRun)
+  if (end === 'silent') found.push(['silent', `status ${answer.status}, ${answer.body.length} bytes`])
+  if (ONCE.has(kind) && runs.length > 1) found.push(['ran_twice', `${runs.length} times`])
+  if (ONCE.has(kind) && NOT_RUN_STATUSES.has(answer.status) && runs.length > 0) found.push(['refused_and_ran', `status ${answer.status}`])
+  found.push(...judgeSent(call, arrivals), ...judgeAnswer(call, answer, arrivals))
+  if (STREAMS.has(kind) && answer.status === 200) found.push(...judgePieces(call, answer))
+  return found.map(([type, detail]) => ({ type, requestId: call.requestId, detail: `${kind} ${detail}; ${answer.framing} ${end}; arrivals: ${arrivals.map(describe).join(' | ')}` }))
+}
+
+function describe ({ answer, asked, atMs, connection, hasRun, replicaId, script }: Arrival): string {
+  return `${asked} at ${replicaId}/${connection} ${Math.round(atMs)} ${hasRun ? 'ran' : ''} ${answer.body} ${script}`
+}
+
+function judgeSent ({ body, method, path }: AnswersCall, arrivals: readonly Arrival[]): Array<readonly [ViolationClass, string]> {
+  const sent = digestOf(body)
+  return arrivals
+    .filter((arrival) => arrival.method !== method || arrival.path !== path || (arrival.sentRequest ?? sent) !== sent)
+    .map((arrival) => ['other_request_sent', `${arrival.method} ${arrival.path} ${arrival.sentRequest} for ${method} ${path} ${sent}`] as const)
+}
+
+function judgeAnswer ({ requestId }: AnswersCall, answer: ReadAnswer, arrivals: readonly Arrival[]): Array<readonly [ViolationClass, string]> {
+  if (answer.status === 0) return []
+  const found: Array<readonly [ViolationClass, string]> = []
+  const ids = answer.headers.get('x-request-id') ?? []
+  const isSigned = answer.headers.has('x-response-stamp')
+  if (ids.some((id) => id !== requestId)) found.push(['foreign_answer', `bears the id ${ids.join(', ')}`])
+  if (answer.status < 300 && !isSigned) found.push(['unsigned', `status ${answer.status}`])
+  if ((answer.headers.get('x-note') ?? []).some((note) => !ANSWER_NOTES.has(note))) found.push(['changed_header', `note ${answer.headers.get('x-note')}`])
+  if (!isSigned) return found
+  const ofStatus = arrivals.filter(({ answer: sent, asked }) => asked === 'run' && sent.status === answer.status && !isRefusal(sent.status))
+  if (ofStatus.length === 0) found.push(['other_status', `signed ${answer.status}`])
+  else if (answer.isComplete && !ofStatus.some(({ answer: sent }) => isSame(answer, sent)) && !isResumed(arrivals)) found.push([nameCut(ofStatus), `got ${digestOf(answer.body)}`])
+  return found
+}
+
+// An answer that its replica ended in order without a length may be any part of what it meant to send.
+function isSame (answer: ReadAnswer, sent: Arrival['answer']): boolean {
+  const got = digestOf(answer.body)
+  return got === sent.body || (answer.framing === 'connection' && got === sent.sentBody)
+}
+
+function nameCut (arrivals: readonly Arrival[]): ViolationClass {
+  if (arrivals.some(({ answer }) => answer.isReset && answer.framing === 'connection')) return 'reset_looks_complete'
+  return arrivals.some(({ isStream }) => isStream) ? 'stream_tail_dropped' : 'cut_looks_complete'
+}
+
+// Its body is made of two runs; its pieces are judged.
+function isResumed (arrivals: readonly Arrival[]): boolean {
+  return arrivals.filter(({ asked }) => asked === 'run').length > 1
+}
+
+function judgePieces ({ requestId }: AnswersCall, { body, framing, isComplete }: ReadAnswer): Array<readonly [ViolationClass, string]> {
+  const text = body.toString('utf8').replaceAll('\r\n', '\n').replaceAll('\r', '\n')
+  const ids = [...text.matchAll(/^id: (\d+)\ndata: (\S+) piece/gm)].map((match) => ({ id: Number(match[1]), of: match[2] }))
+  const seen = ids.map(({ id }) => id).join(' ')
+  if (ids.some(({ of }) => of !== requestId)) return [['foreign_answer', `pieces of ${ids.map(({ of }) => of).join(' ')}`]]
+  if (ids.some(({ id }, index) => id !== index + 1)) return [['stream_pieces', `pieces ${seen}`]]
+  const isShort = isComplete && framing !== 'connection' && ids.length !== STREAM_EVENTS
+  return isShort ? [['stream_pieces', `complete after pieces ${seen}`]] : []
+}
+
+// Handles and holds belong to the request for which they were made.
+function judgeMemory ({ arrivals }: AnswersTruth): Violation[] {
+  const prefills = new Map(arrivals.filter(({ asked }) => asked === 'prefill').map((arrival) => [arrival.given ?? '', arrival]))
+  const holds = new Set(arrivals.filter(({ asked }) => asked === 'hold').map(({ given }) => given))
+  const users = new Map<string, Arrival>()
+  const found: Violation[] = []
+  for (const arrival of arrivals) {
+    const { hold, requestId, source } = arrival
+    const handle = source?.slice(source.indexOf('/') + 1)
+    const prefill = prefills.get(handle ?? '')
+    const report = (type: ViolationClass, detail: string): void => { found.push({ type, requestId, detail: `${detail}; ${describe(arrival)}` }) }
+    if (handle !== undefined && prefill?.requestId !== requestId) report('foreign_handle', `${handle} is of ${prefill?.requestId}: ${prefill === undefined ? '' : describe(prefill)}`)
+    if (hold !== undefined && !holds.has(hold)) report('foreign_hold', `${hold} was given to nobody`)
+    for (const memory of [handle, hold]) {
+      if (memory === undefined) continue
+      const user = users.get(memory)
+      if (user !== undefined && user.requestId !== requestId) report(memory === hold ? 'foreign_hold' : 'handle_reused', `${memory} was used by ${user.requestId}`)
+      users.set(memory, arrival)
+    }
+  }
+  return found
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersPlay.ts
@@ -0,0 +1,102 @@
+/**
+ * Writes scripted answers to a connection.
+ *
+ * @module
+ */
+import type { Socket } from 'node:net'
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
+import type { EncodedAnswer } from './BendfallFakesAnswersEncode.js'
+import type { AnswerScript, ScriptCut, ScriptDouble } from './BendfallFakesAnswersScript.js'
+
+/** Answers longer than this are not written byte by byte. */
+const LONGEST_BYTEWISE = 400
+
+const HINTS = Buffer.from('HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n')
+const GARBAGE = Buffer.from('what is this\r\n\r\n')
+
+/**
+ * Writes an answer up to its end or its break.
+ *
+ * @param socket - the connection
+ * @param script - how the answer goes out
+ * @param answer - its bytes
+ * @param before - bytes of a former answer that go out in the same segment
+ */
+export async function playAnswer (socket: Socket, script: AnswerScript, answer: EncodedAnswer, before: Buffer): Promise<void> {
+  const { cut } = script
+  const bytes = Buffer.concat([preludeOf(script), before, answer.head, answer.framed])
+  const extraBytes = bytes.length - answer.head.length - answer.framed.length
+  const sent = cut === undefined ? bytes : bytes.subarray(0, extraBytes + cutPosition(cut, answer))
+  const after = hasDoubleBehind(script) ? doubleBytes(script.double, answer) : Buffer.alloc(0)
+  await writeParts(socket, Buffer.concat([sent, after]), script)
+  if (cut !== undefined) await breakOff(socket, cut)
+  else if (endsConnection(script)) socket.end()
+}
+
+/**
+ * Tells whether the connection ends with the answer.
+ *
+ * @param script - of the answer
+ * @returns whether it does
+ */
+export function endsConnection (script: AnswerScript): boolean {
+  return script.cut !== undefined || script.framing === 'connection' || script.connection === 'close'
+}
+
+/**
+ * Bytes of a second answer.
+ *
+ * @param double - which part of it
+ * @param answer - the first answer
+ * @returns the bytes
+ */
+export function doubleBytes ({ part }: ScriptDouble, answer: EncodedAnswer): Buffer {
+  if (part === 'whole') return Buffer.concat([answer.head, answer.framed])
+  if (part === 'head_cut') return answer.head.subarray(0, Math.ceil(answer.head.length / 2))
+  return Buffer.concat([answer.head, answer.framed.subarray(0, Math.floor(answer.framed.length / 2))])
+}
+
+/**
+ * Place at which an answer breaks off.
+ *
+ * @param cut - the break
+ * @param answer - the answer
+ * @returns bytes of head and framed body before it
+ */
+export function cutPosition ({ at, share }: ScriptCut, { framed, head }: EncodedAnswer): number {
+  const places: Readonly<Record<ScriptCut['at'], number>> = {
+    head: Math.floor(share * head.length),
+    body: head.length + Math.floor(share * framed.length),
+    last_byte: head.length + Math.max(0, framed.length - 1),
+    end: head.length + framed.length
+  }
+  return places[at]
+}
+
+// Behind an answer that ends with its connection there is nothing: more bytes would be part of it.
+function hasDoubleBehind (script: AnswerScript): script is AnswerScript & { readonly double: ScriptDouble } {
+  return script.double?.when === 'same_segment' && script.cut === undefined && script.framing !== 'connection'
+}
+
+function preludeOf ({ prelude }: AnswerScript): Buffer {
+  if (prelude === 'hints') return HINTS
+  return prelude === 'garbage' ? GARBAGE : Buffer.alloc(0)
+}
+
+async function writeParts (socket: Socket, bytes: Buffer, { pieceDelayMs, pieces, write }: AnswerScript): Promise<void> {
+  const isBytewise = write === 'bytes' && bytes.length <= LONGEST_BYTEWISE
+  const count = isBytewise ? bytes.length : write === 'pieces' ? pieces : 1
+  const size = Math.max(1, Math.ceil(bytes.length / Math.max(1, count)))
+  for (let at = 0; at < bytes.length && !socket.destroyed; at += size) {
+    socket.write(bytes.subarray(at, at + size))
+    if (at + size >= bytes.length) return
+    if (isBytewise) await nextTurn()
+    else await sleep(pieceDelayMs)
+  }
+}
+
+async function breakOff (socket: Socket, { afterMs, how }: ScriptCut): Promise<void> {
+  if (afterMs > 0) await sleep(afterMs)
+  if (how === 'fin') socket.end()
+  else socket.resetAndDestroy()
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersReplica.ts
@@ -0,0 +1,172 @@
+/**
+ * Raw stand-in of a replica: answers each request by a script and knows what
+ * it sent.
+ *
+ * @module
+ */
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { AnswerOf, EncodedAnswer } from './BendfallFakesAnswersEncode.js'
+import { encodeAnswer, isRefusal } from './BendfallFakesAnswersEncode.js'
+import { cutPosition, doubleBytes, endsConnection, playAnswer } from './BendfallFakesAnswersPlay.js'
+import { createRequestReader } from './BendfallFakesAnswersRequests.js'
+import type { RequestHead } from './BendfallFakesAnswersRequests.js'
+import type { AnswerScript, AskedFor } from './BendfallFakesAnswersScript.js'
+import { describeScript } from './BendfallFakesAnswersScript.js'
+import { digestOf } from './BendfallFakesAnswersTruth.js'
+import type { AnswersTruth, Arrival, SentAnswer } from './BendfallFakesAnswersTruth.js'
+
+/** A request of which a script is wanted. */
+export interface ScriptedRequest {
+  readonly replicaId: string
+  readonly asked: AskedFor
+  readonly requestId: string
+  /** Requests that reached the replica before. */
+  readonly serial: number
+  readonly isStream: boolean
+}
+
+/** What a stand-in is. */
+export interface AnswersReplicaOptions {
+  readonly host: string
+  readonly replicaId: string
+  readonly scriptOf: (request: ScriptedRequest) => AnswerScript
+}
+
+/** The stand-in. */
+export interface AnswersReplica {
+  /** `ip:port`. */
+  readonly address: string
+  readonly truth: () => AnswersTruth
+  readonly close: () => Promise<void>
+}
+
+/** Events of a stream: few enough that a run of the fuzzer stays short. */
+export const STREAM_EVENTS = 5
+
+const OWN_CALLS: ReadonlyArray<readonly [string, AskedFor]> = [['/api/hold-take', 'hold'], ['/api/hold-drop/', 'drop'], ['/api/kv-handle/', 'free']]
+
+/**
+ * Starts a stand-in.
+ *
+ * @param options - address and scripts
+ * @returns the stand-in once it listens
+ */
+export async function startAnswersReplica (options: AnswersReplicaOptions): Promise<AnswersReplica> {
+  const { replicaId, scriptOf } = options
+  const arrivals: Arrival[] = []
+  const garbage: string[] = []
+  const sockets = new Set<Socket>()
+  let connections = 0
+
+  function note (head: RequestHead, connection: number): { readonly arrival: Arrival, readonly encoded: EncodedAnswer, readonly script: AnswerScript } {
+    const serial = arrivals.length
+    const asked = askedFor(head)
+    const requestId = head.headers.get('x-request-id') ?? ''
+    const isStream = asked === 'run' && head.headers.has('x-token-counts')
+    const script = scriptOf({ replicaId, asked, requestId, serial, isStream })
+    const given = asked === 'prefill' || asked === 'hold' ? `${asked}-${replicaId}-${serial}` : undefined
+    const of: AnswerOf = {
+      asked,
+      requestId: head.headers.get('x-request-id'),
+      replicaId,
+      serial,
+      given,
+      events: isStream ? { after: Number(head.headers.get('last-event-id') ?? 0), last: STREAM_EVENTS } : undefined
+    }
+    const encoded = encodeAnswer(script, of)
+    const arrival: Arrival = {
+      replicaId,
+      connection,
+      asked,
+      isStream,
+      requestId,
+      method: head.method,
+      path: head.path,
+      source: head.headers.get('x-kv-source'),
+      hold: head.headers.get('x-kv-hold'),
+      given,
+      hasRun: asked === 'run' && !isRefusal(script.status),
+      atMs: performance.now(),
+      script: describeScript(script),
+      answer: answerOf(script, encoded)
+    }
+    arrivals.push(arrival)
+    return { arrival, encoded, script }
+  }
+
+  function serve (socket: Socket): void {
+    connections += 1
+    const connection = connections
+    let before: Buffer = Buffer.alloc(0)
+    // One answer at a time: a second one comes before or behind others, never within them.
+    let turn: Promise<void> = Promise.resolve()
+    let current: ReturnType<typeof note> | undefined
+
+    async function play ({ encoded, script }: ReturnType<typeof note>): Promise<void> {
+      await sleep(script.workMs)
+      const former = before
+      before = Buffer.alloc(0)
+      await playAnswer(socket, script, encoded, former)
+      const { double } = script
+      if (double === undefined || endsConnection(script) || double.when === 'same_segment') return
+      if (double.when === 'with_next') before = doubleBytes(double, encoded)
+      else later(double.afterMs, doubleBytes(double, encoded))
+    }
+
+    function later (afterMs: number, bytes: Buffer): void {
+      setTimeout(() => { turn = turn.then(() => { if (socket.writable) socket.write(bytes) }) }, afterMs).unref()
+    }
+
+    const reader = createRequestReader({
+      onHead: (head) => {
+        current = note(head, connection)
+        if (!current.script.isEarly) return
+        const early = current
+        socket.pause()
+        turn = turn.then(() => play(early)).finally(() => socket.resume())
+      },
+      onRequest: (_, body) => {
+        if (current === undefined) return
+        const whole = current
+        whole.arrival.sentRequest = digestOf(body)
+        if (!whole.script.isEarly) turn = turn.then(() => play(whole))
+      },
+      onGarbage: (bytes) => { garbage.push(`${replicaId} connection ${connection}: ${bytes.subarray(0, 80).toString('latin1')}`) }
+    })
+    socket.setNoDelay(true)
+    socket.on('error', () => {})
+    socket.on('data', reader.push)
+  }
+
+  const server = createServer((socket) => {
+    sockets.add(socket)
+    socket.once('close', () => sockets.delete(socket))
+    serve(socket)
+  })
+  await new Promise<void>((resolve) => server.listen(0, options.host, resolve))
+  return {
+    address: `${options.host}:${(server.address() as AddressInfo).port}`,
+    truth: () => ({ arrivals, garbage }),
+    close: () => new Promise((resolve) => {
+      server.close(() => resolve())
+      for (const socket of sockets) socket.destroy()
+    })
+  }
+}
+
+function askedFor ({ headers, path }: RequestHead): AskedFor {
+  const own = OWN_CALLS.find(([prefix]) => path.startsWith(prefix))
+  if (own !== undefined) return own[1]
+  return headers.get('x-serving-stage') === 'prefill' ? 'prefill' : 'run'
+}
+
+function answerOf (script: AnswerScript, encoded: EncodedAnswer): SentAnswer {
+  const { cut, framing, status } = script
+  const answer: SentAnswer = { status, framing, isReset: cut?.how === 'reset', body: digestOf(encoded.body) }
+  // Only an answer without a length may end anywhere in order.
+  if (cut?.how !== 'fin' || framing !== 'connection') return answer
+  const bodyBytes = Math.max(0, cutPosition(cut, encoded) - encoded.head.length)
+  return { ...answer, sentBody: digestOf(encoded.body.subarray(0, bodyBytes)) }
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersResponses.ts
@@ -0,0 +1,132 @@
+/**
+ * Reads answers from the bytes of a caller's connection and tells whether they
+ * are complete.
+ *
+ * @module
+ */
+
+/** An answer as its caller sees it. */
+export interface ReadAnswer {
+  readonly status: number
+  /** Values by name in lower case, each as often as it came. */
+  readonly headers: ReadonlyMap<string, readonly string[]>
+  readonly framing: 'chunked' | 'connection' | 'length'
+  readonly body: Buffer
+  readonly isComplete: boolean
+}
+
+/** Reads one answer. */
+export interface ResponseReader {
+  /** @returns bytes behind the end of the answer; undefined while it goes on */
+  readonly push: (chunk: Buffer) => Buffer | undefined
+  /**
+   * The connection ended.
+   *
+   * @param isOrderly - whether it was closed, as opposed to reset
+   */
+  readonly finish: (isOrderly: boolean) => ReadAnswer
+  readonly answer: () => ReadAnswer
+}
+
+interface Head {
+  readonly status: number
+  readonly headers: ReadonlyMap<string, readonly string[]>
+  readonly framing: ReadAnswer['framing']
+  readonly bodyBytes: number
+}
+
+const HEAD_END = Buffer.from('\r\n\r\n')
+const LINE_END = Buffer.from('\r\n')
+const FIRST_FINAL_STATUS = 200
+
+/**
+ * Makes a reader.
+ *
+ * @returns the reader
+ */
+export function createResponseReader (): ResponseReader {
+  let rest: Buffer = Buffer.alloc(0)
+  let head: Head | undefined
+  const body: Buffer[] = []
+  let bodyBytes = 0
+  let isComplete = false
+
+  function keep (bytes: Buffer): void {
+    body.push(bytes)
+    bodyBytes += bytes.length
+  }
+
+  function readHead (): boolean {
+    const end = rest.indexOf(HEAD_END)
+    if (end < 0) return false
+    const parsed = parseHead(rest.subarray(0, end).toString('latin1'))
+    rest = rest.subarray(end + HEAD_END.length)
+    if (parsed.status >= FIRST_FINAL_STATUS || parsed.status === 0) head = parsed
+    return true
+  }
+
+  function readSized (size: number): void {
+    const taken = rest.subarray(0, size - bodyBytes)
+    rest = rest.subarray(taken.length)
+    keep(taken)
+    isComplete = bodyBytes === size
+  }
+
+  function readChunk (): boolean {
+    const lineEnd = rest.indexOf(LINE_END)
+    if (lineEnd < 0) return false
+    const size = Number.parseInt(rest.subarray(0, lineEnd).toString('latin1'), 16)
+    const from = lineEnd + LINE_END.length
+    if (rest.length < from + size + LINE_END.length) return false
+    keep(rest.subarray(from, from + size))
+    rest = rest.subarray(from + size + LINE_END.length)
+    isComplete = size === 0
+    return !isComplete
+  }
+
+  function readBody (known: Head): void {
+    if (known.framing === 'length') return readSized(known.bodyBytes)
+    if (known.framing === 'chunked') {
+      while (readChunk()) continue
+      return
+    }
+    keep(rest)
+    rest = Buffer.alloc(0)
+  }
+
+  function answer (): ReadAnswer {
+    return { status: head?.status ?? 0, headers: head?.headers ?? new Map(), framing: head?.framing ?? 'length', body: Buffer.concat(body), isComplete }
+  }
+
+  return {
+    push: (chunk) => {
+      rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk])
+      while (head === undefined && readHead()) continue
+      if (head !== undefined) readBody(head)
+      return isComplete ? rest : undefined
+    },
+    finish: (isOrderly) => {
+      if (head?.framing === 'connection') isComplete = isOrderly
+      return answer()
+    },
+    answer
+  }
+}
+
+function parseHead (text: string): Head {
+  const [line = '', ...rest] = text.split('\r\n')
+  const headers = new Map<string, string[]>()
+  for (const header of rest) {
+    const colon = header.indexOf(':')
+    const name = header.slice(0, colon).toLowerCase()
+    headers.set(name, [...headers.get(name) ?? [], header.slice(colon + 1).trim()])
+  }
+  const length = headers.get('content-length')?.[0]
+  const isChunked = headers.has('transfer-encoding')
+  return {
+    status: Number(/^HTTP\/1\.1 (\d{3})/.exec(line)?.[1] ?? 0),
+    headers,
+    framing: isChunked ? 'chunked' : length === undefined ? 'connection' : 'length',
+    bodyBytes: Number(length ?? 0)
+  }
+}
--- /dev/null
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScene.ts
@@ -0,0 +1,132 @@
+/**
+ * An entry before scripted replicas.
+ *
+ * @module
+ */
+import { get } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { startEntry } from 'bendfall-edge'
+import { createLogger } from 'bendfall-node'
+import { createPlatformKeyValue, PLATFORM_DIALECT } from 'bendfall-platform-adapter'
+import { startFleetStore } from '../BendfallFakesFleetStore.js'
+import type { AnswersFleet, ReplicaPlace } from './BendfallFakesAnswersFleet.js'
+
+/** Host of the routes. */
+export const ANSWERS_HOST = 'answers.example'
+
+/** Kinds of calls; each names the prefix of its path. */
+export type AnswersKind = 'booking' | 'brief' | 'rate' | 'summary'
+
+/** Place and pool of a replica of the scene. */
+export interface ScenePlace extends ReplicaPlace {
+  readonly stage?: 'decode' | 'prefill'
+}
+
+/** A scene. */
+export interface AnswersScene {
+  /** Where callers connect. */
+  readonly callers: { readonly host: string, readonly port: number }
+  /** Log lines of the entry. */
+  readonly lines: readonly string[]
+  readonly close: () => Promise<void>
+}
+
+const SUBNETS = 250
+const LEDGER_PORT = 17_380
+const CALLERS_PORT = 17_381
+const READY_PORT = 17_382
+const READY_POLLS = 150
+const POLL_MS = 20
+
+const ROUTE = { host: ANSWERS_HOST, 'timeout-ms': 4_000, 'target-latency-ms': 900, priority: 1 }
+const PLAIN_ROUTE = { ...ROUTE, priority: 2, service: 'app' }
+const PROMPT_ROUTE = { ...ROUTE, kind: 'streaming', service: 'llm', sticky: true, 'target-gap-ms': 300 }
+
+const CONFIG = {
+  version: 1,
+  routes: [
+    { ...PROMPT_ROUTE, name: 'summary', 'path-prefix': '/summary/', 'max-attempts': 1, resumable: false },
+    { ...PROMPT_ROUTE, name: 'brief', 'path-prefix': '/brief/', 'max-attempts': 2, resumable: true },
+    { ...PLAIN_ROUTE, name: 'rate', 'path-prefix': '/rate/', kind: 'idempotent', 'max-attempts': 2 },
+    { ...PLAIN_ROUTE, name: 'booking', 'path-prefix': '/booking/', kind: 'non_idempotent', 'max-attempts': 1 }
+  ],
+  services: [{ name: 'llm', 'max-connections': 370, engine: { slots: 64, 'kv-tokens': 20_000, 'handle-ttl-s': 2, 'switch-s': 1 } }, { name: 'app', 'max-connections': 110 }],
+  limits: { 'max-header-bytes': 4_096, 'max-body-bytes': 2_000_000, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
+}
+
+/**
+ * Loopback addresses of this process alone, so that runs may go side by side.
+ *
+ * @param last - last number of the address
+ * @returns the address
+ */
+export function answersIp (last: number): string {
+  const subnet = process.pid
+  return `127.${1 + subnet % SUBNETS}.${1 + Math.floor(subnet / SUBNETS) % SUBNETS}.${last}`
+}
+
+/** Replicas of a scene: plain ones, and both pools of a model. */
+export const SCENE_PLACES: readonly ScenePlace[] = [
+  { replicaId: 'i-x', host: answersIp(21) },
+  { replicaId: 'i-y', host: answersIp(22) },
+  { replicaId: 'i-z', host: answersIp(23) },
+  { replicaId: 'i-p', host: answersIp(31), stage: 'prefill' },
+  { replicaId: 'i-q', host: answersIp(32), stage: 'prefill' },
+  { replicaId: 'i-a', host: answersIp(41), stage: 'decode' },
+  { replicaId: 'i-b', host: answersIp(42), stage: 'decode' },
+  { replicaId: 'i-c', host: answersIp(43), stage: 'decode' }
+]
+
+/**
+ * Starts the scene. Nobody listens where the ledgers would, so that memory is
+ * held at the replicas themselves.
+ *
+ * @param places - replicas
+ * @param fleet - the same, as they listen
+ * @returns the scene once the entry is ready
+ */
+export async function startAnswersScene (places: readonly ScenePlace[], fleet: Pick<AnswersFleet, 'addresses'>): Promise<AnswersScene> {
+  const lines: string[] = []
+  const store = await startFleetStore(answersIp(1))
+  places.forEach(({ replicaId, stage }, index) => store.put(`servers/${replicaId}`, {
+    service: stage === undefined ? 'app' : 'llm', address: fleet.addresses[index], zone: 'a', version: 'v1', slots: 20, state: 'ready', 'cold-remaining-ms': 0, stage, seq: 1
+  }))
+  store.put('op/config', CONFIG)
+  const keyValue = createPlatformKeyValue(store.address)
+  const callers = { host: answersIp(2), port: CALLERS_PORT }
+  const entry = await startEntry({
+    settings: {
+      instanceId: 'entry-1',
+      availabilityZone: 'a',
+      ip: callers.host,
+      callersListen: `${callers.host}:${callers.port}`,
+      readyListen: `${callers.host}:${READY_PORT}`,
+      peerPorts: [LEDGER_PORT, LEDGER_PORT + 9],
+      keyValueAddress: store.address,
+      stopGraceS: 1
+    },
+    dialect: PLATFORM_DIALECT,
+    keyValue,
+    logger: createLogger({ level: 'info', write: (line) => { lines.push(line) } })
+  })
+  for (let i = 0; i < READY_POLLS && !await isReady(callers.host); i++) await sleep(POLL_MS)
+  return {
+    callers,
+    lines,
+    close: async () => {
+      await entry.stop()
+      await keyValue.close()
+      await store.close()
+    }
+  }
+}
+
+function isReady (host: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const request = get({ host, port: READY_PORT, path: '/api/ready', agent: false }, (response) => {
+      response.resume()
+      resolve(response.statusCode === 200)
+    })
+    request.once('error', () => resolve(false))
+  })
+}
