End streams that go on at another replica, whatever that one answers

Cause: a run that went on behind the last event and had nothing to add was held like an answer that has not begun, and nothing was delivered: the caller waited until it gave up. A failure of that replica was taken for the rest of the stream. A length of the first replica's stream was passed on although another may go on with it. Lines ended by CR alone made no event. Change: a stream that has begun is ended, or fails when what should go on with it is no stream; streams with a length are passed on in chunks; the splitter knows all three line ends.

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeEventSplitter.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeEventSplitter.test.ts
@@ -22,4 +22,23 @@
   }
 })
 
+for (const [name, lineEnd] of [['LF', '\n'], ['CR LF', '\r\n'], ['CR', '\r']] as const) {
+  test(`each event goes on as soon as its empty line is there, with lines ended by ${name}`, () => {
+    const text = [1, 2, 3].map((id) => `id: ${id}${lineEnd}data: a${lineEnd}${lineEnd}`).join('')
+    for (const size of [1, 2, 3, 7, 100]) {
+      const splitter = createEventSplitter()
+      let passed = ''
+      for (let at = 0; at < text.length; at += size) {
+        const whole = splitter.take(Buffer.from(text.slice(at, at + size)))
+        passed += whole.bytes.toString()
+        if (at + size < text.length) continue
+        assert.is(whole.count, 3, `pieces of ${size}`)
+        assert.is(whole.lastEventId, '3')
+      }
+      assert.is(passed + splitter.tail().toString(), text)
+      assert.is(splitter.isWithinEvent(), false)
+    }
+  })
+}
+
 test.run()
--- a/packages/bendfall-edge/src/replica/BendfallEdgeEventSplitter.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeEventSplitter.ts
@@ -20,10 +20,13 @@
   readonly take: (chunk: Buffer) => WholeEvents
   /** What followed the last whole event so far. */
   readonly tail: () => Buffer
+  /** Whether that is a part of an event. */
+  readonly isWithinEvent: () => boolean
 }
 
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
+const CR_LF = '\r\n'
 const ID_LINE = /^id: ?(.*)$/
 
 /**
@@ -48,21 +51,33 @@
     return { bytes: text.subarray(0, end), lastEventId, count }
   }
 
-  return { take, tail: () => rest }
+  return { take, tail: () => rest, isWithinEvent: () => hasText(rest) }
 }
 
-// An event ends with an empty line.
+// An event ends with an empty line. Lines end with LF, CR LF or CR: a CR at the end of the
+// chunk waits for its LF only where the lines before ended so.
 function findEventEnd (text: Buffer, from: number): number {
   let lineStart = from
-  for (let at = text.indexOf(LINE_FEED, from); at >= 0; at = text.indexOf(LINE_FEED, at + 1)) {
-    const length = at > lineStart && text[at - 1] === CARRIAGE_RETURN ? at - 1 - lineStart : at - lineStart
-    if (length === 0 && at > from) return at + 1
+  for (let at = from; at < text.length; at++) {
+    if (!isLineBreak(text[at])) continue
+    const isEmptyLine = at === lineStart
+    if (at + 1 === text.length && text[at] === CARRIAGE_RETURN && text.subarray(from, at).includes(CR_LF)) return -1
+    if (text[at] === CARRIAGE_RETURN && text[at + 1] === LINE_FEED) at += 1
     lineStart = at + 1
+    if (isEmptyLine && at > from && hasText(text.subarray(from, at))) return lineStart
   }
   return -1
 }
 
+function isLineBreak (byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN
+}
+
+function hasText (bytes: Buffer): boolean {
+  return bytes.some((byte) => !isLineBreak(byte))
+}
+
 function readId (event: Buffer): string | undefined {
-  const lines = event.toString('utf8').split(/\r?\n/)
+  const lines = event.toString('utf8').split(/\r\n|\r|\n/)
   return lines.map((line) => ID_LINE.exec(line)?.[1]).filter((id) => id !== undefined).at(-1)
 }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -166,7 +166,7 @@
   function startRelay (): void {
     isRelaying = true
     sends.get(key)?.cancelTimeout()
-    exchange.start(status, headers)
+    exchange.start(status, isEventStream() ? withoutLength(headers) : headers)
     loop.dispatch({ type: 'answer_started', key, attempt })
   }
 
@@ -192,7 +192,11 @@
   // Behind a whole event nobody can tell; within one, or before the first, it is no answer.
   function isBrokenOff (framing: AnswerFraming): boolean {
     if (!isEventStream() || framing !== 'connection') return false
-    return splitter.tail().length > 0 || (outputEvents === 0 && effect.lastEventId === undefined)
+    return splitter.isWithinEvent() || (outputEvents === 0 && effect.lastEventId === undefined)
+  }
+
+  function hasBegun (): boolean {
+    return exchange.response.headersSent
   }
 
   function breakOff (): void {
@@ -217,6 +221,8 @@
       status = answeredStatus
       headers = answeredHeaders
       judge(dialect.readAnswerHead(status, headers))
+      // Its body would be written into the stream that it was to go on with.
+      if (hasBegun() && !isEventStream()) fail('unknown')
     },
     onChunk: (chunk) => {
       if (isOver) return
@@ -234,13 +240,19 @@
       if (framing === 'connection') options.onEndedWithConnection({ requestId: exchange.caller.requestId, address: effect.address, status, bodyBytes })
       const send = sends.get(key)
       send?.cancelTimeout()
-      if (!isRelaying && send !== undefined) send.held = { status, headers, body: Buffer.concat(chunks) }
+      // A run that goes on where another stopped may have nothing left to send.
+      if (!hasBegun() && send !== undefined) send.held = { status, headers, body: Buffer.concat(chunks) }
       loop.dispatch({ type: 'answer_complete', key, attempt, status, outputEvents, longestGapMs: Math.round(longestGapMs) })
     },
     onFail: (_, isSent) => fail(isSent ? 'unknown' : 'not_sent')
   }
 }
 
+// The run of another replica may go on with this stream, so its length is not known.
+function withoutLength ({ 'content-length': length, ...headers }: IncomingHttpHeaders): IncomingHttpHeaders {
+  return length === undefined ? headers : { ...headers, 'transfer-encoding': 'chunked' }
+}
+
 // Another request's answer, or one that no replica vouches for, must not reach the caller.
 function describeGarbled (status: number, head: AnswerHead, requestId: string): string | undefined {
   if (head.requestId !== undefined && head.requestId !== requestId) return `answer to another request: ${head.requestId}`
