Take an answer without a length for whole only when its connection was closed in order

Cause: the HTTP client ends such an answer at ECONNRESET, and at the end that Node tells when a reset is found together with the last bytes. What the adapters get is then a part: a call of a plain service is answered with that part and a length of its own, a watch, a range or a lease with text that ends in the middle. Change: the connector of the exchanger notes how a connection ends before the client hears of it; an answer that tells its end neither by a length nor by chunks fails as broken, and may have reached the server, unless its connection was closed in order.

--- a/packages/bendfall-platform/src/BendfallPlatformHttp.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttp.ts
@@ -8,6 +8,8 @@
 import type { Result } from 'ts-results-es'
 import { Agent } from 'undici'
 import type { Dispatcher } from 'undici'
+import { createConnectionEnds, tellsItsEnd } from './BendfallPlatformHttpEnds.js'
+import type { ConnectionEnds } from './BendfallPlatformHttpEnds.js'
 import { createAnswerReader, createLineReader } from './BendfallPlatformHttpReaders.js'
 import type { AnswerReader } from './BendfallPlatformHttpReaders.js'
 import { createSendOnce } from './BendfallPlatformHttpSendOnce.js'
@@ -93,12 +95,12 @@
  * @returns the exchanger; close it to free its connections
  */
 export function createHttpExchanger (options: HttpOptions): HttpExchanger {
-  const connect = { timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS }
-  const makeKept = (): Agent => new Agent({ connect, pipelining: 1 })
+  const ends = createConnectionEnds(options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS)
+  const makeKept = (): Agent => new Agent({ connect: ends.connect, pipelining: 1 })
   const agents = new Set<Agent>()
   let kept = makeKept()
   agents.add(kept)
-  const fresh = new Agent({ connect, pipelining: 0 })
+  const fresh = new Agent({ connect: ends.connect, pipelining: 0 })
   const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
 
   // Calls under way end on the former connections, which are closed after them.
@@ -113,7 +115,7 @@
     const attempt = startAttempt(request)
     const agent = request.freshConnection === true ? fresh : kept
     try {
-      await readOnce(agent, toUndici(options.origin, request), attempt, reader)
+      await readOnce({ agent, ends, attempt, reader }, toUndici(options.origin, request))
       return Ok(reader.end())
     } catch (error) {
       return Err({ kind: reader.isTooLarge() ? 'too_large' : attempt.kind, reached: attempt.state.started, detail: describe(error) })
@@ -132,6 +134,13 @@
   }
 }
 
+interface Reading {
+  readonly agent: Agent
+  readonly ends: ConnectionEnds
+  readonly attempt: Attempt
+  readonly reader: AnswerReader<unknown>
+}
+
 function toUndici (origin: string, request: HttpRequest): Dispatcher.DispatchOptions {
   return {
     origin,
@@ -146,7 +155,8 @@
 
 // Straight on the dispatcher: a stream and its async iterator cost several
 // times as much as all the rest when each chunk carries one token.
-function readOnce (agent: Agent, options: Dispatcher.DispatchOptions, attempt: Attempt, reader: AnswerReader<unknown>): Promise<void> {
+function readOnce ({ agent, attempt, ends, reader }: Reading, options: Dispatcher.DispatchOptions): Promise<void> {
+  let isEndTold = false
   return new Promise((resolve, reject) => {
     const dispatch = createSendOnce(attempt.state)((...args) => agent.dispatch(...args))
     dispatch(options, {
@@ -155,7 +165,10 @@
         if (attempt.reason !== undefined) controller.abort(attempt.reason)
       },
       onResponseStart: (_, status, headers) => {
-        if (status >= FIRST_FINAL_STATUS) reader.onHead(status, (name) => String(headers[name] ?? ''))
+        if (status < FIRST_FINAL_STATUS) return
+        const headerOf = (name: string): string => String(headers[name] ?? '')
+        isEndTold = tellsItsEnd(options.method, status, headerOf)
+        reader.onHead(status, headerOf)
       },
       onResponseData: (controller, chunk) => {
         attempt.touch()
@@ -166,7 +179,10 @@
           controller.abort(error as Error)
         }
       },
-      onResponseEnd: () => resolve(),
+      onResponseEnd: () => {
+        if (isEndTold || ends.isInOrder()) resolve()
+        else reject(new Error('the connection was reset before the end of the answer'))
+      },
       onResponseError: (_, error) => reject(error)
     })
   })
