Refuse an answer that names another call of the same plain service

Cause: a second answer that crosses the next call on a kept connection was that call's answer. Change: a call may give its id to the exchanger, which sends it and refuses an answer that names another request sent to the same server lately; the connection ends. A server that names its answers its own way, or not at all, is answered for as before: without an id nothing tells a late double of a safe method; calls of other methods have a connection each. Evidence: the new case fails before (the caller of the second call got the first one's answer) and passes after; the services' tests pass.

--- a/packages/bendfall-platform/src/BendfallPlatformHttp.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttp.ts
@@ -12,12 +12,15 @@
 import type { ConnectionEnds } from './BendfallPlatformHttpEnds.js'
 import { createAnswerReader, createLineReader } from './BendfallPlatformHttpReaders.js'
 import type { AnswerReader } from './BendfallPlatformHttpReaders.js'
+import { createSentRequestIds } from './BendfallPlatformHttpRequestIds.js'
+import type { SentRequestIds } from './BendfallPlatformHttpRequestIds.js'
 import { createSendOnce } from './BendfallPlatformHttpSendOnce.js'
 import type { SendState } from './BendfallPlatformHttpSendOnce.js'
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000
 const DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
 const FIRST_FINAL_STATUS = 200
+const REQUEST_ID_HEADER = 'x-request-id'
 
 /** Settings of an exchanger. */
 export interface HttpOptions {
@@ -40,6 +43,11 @@
   readonly path: string
   readonly headers?: Readonly<Record<string, string>>
   readonly body?: Uint8Array | string
+  /**
+   * Goes with the request as `x-request-id`. An answer that names another request sent
+   * before is a second answer to that one: the call fails as broken.
+   */
+  readonly requestId?: string
   /**
    * Longest time to the end of the answer; for streams, between two chunks. A
    * connection that is being opened is waited for up to `connectTimeoutMs`.
@@ -101,6 +109,7 @@
   let kept = makeKept()
   agents.add(kept)
   const fresh = new Agent({ connect: ends.connect, pipelining: 0 })
+  const sentIds = createSentRequestIds()
   const maxBodyBytes = options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES
 
   // Calls under way end on the former connections, which are closed after them.
@@ -114,8 +123,9 @@
   async function exchange<T> (request: HttpRequest, reader: AnswerReader<T>): Promise<Result<T, HttpFailure>> {
     const attempt = startAttempt(request)
     const agent = request.freshConnection === true ? fresh : kept
+    if (request.requestId !== undefined) sentIds.add(request.requestId)
     try {
-      await readOnce({ agent, ends, attempt, reader }, toUndici(options.origin, request))
+      await readOnce({ agent, ends, sentIds, attempt, reader }, request, toUndici(options.origin, request))
       return Ok(reader.end())
     } catch (error) {
       return Err({ kind: reader.isTooLarge() ? 'too_large' : attempt.kind, reached: attempt.state.started, detail: describe(error) })
@@ -137,6 +147,7 @@
 interface Reading {
   readonly agent: Agent
   readonly ends: ConnectionEnds
+  readonly sentIds: SentRequestIds
   readonly attempt: Attempt
   readonly reader: AnswerReader<unknown>
 }
@@ -146,7 +157,7 @@
     origin,
     method: request.method as Dispatcher.HttpMethod,
     path: request.path,
-    headers: request.headers ?? {},
+    headers: request.requestId === undefined ? request.headers ?? {} : { [REQUEST_ID_HEADER]: request.requestId, ...request.headers },
     body: request.body === undefined || request.body.length === 0 ? null : request.body,
     headersTimeout: 0,
     bodyTimeout: 0
@@ -155,7 +166,7 @@
 
 // Straight on the dispatcher: a stream and its async iterator cost several
 // times as much as all the rest when each chunk carries one token.
-function readOnce ({ agent, attempt, ends, reader }: Reading, options: Dispatcher.DispatchOptions): Promise<void> {
+function readOnce ({ agent, attempt, ends, reader, sentIds }: Reading, { requestId }: HttpRequest, options: Dispatcher.DispatchOptions): Promise<void> {
   let isEndTold = false
   return new Promise((resolve, reject) => {
     const dispatch = createSendOnce(attempt.state)((...args) => agent.dispatch(...args))
@@ -164,9 +175,13 @@
         attempt.abort = (reason) => controller.abort(reason)
         if (attempt.reason !== undefined) controller.abort(attempt.reason)
       },
-      onResponseStart: (_, status, headers) => {
+      onResponseStart: (controller, status, headers) => {
         if (status < FIRST_FINAL_STATUS) return
         const headerOf = (name: string): string => String(headers[name] ?? '')
+        if (requestId !== undefined && sentIds.isOfAnother(requestId, headerOf(REQUEST_ID_HEADER))) {
+          controller.abort(new Error('the answer is that of another request'))
+          return
+        }
         isEndTold = tellsItsEnd(options.method, status, headerOf)
         reader.onHead(status, headerOf)
       },
--- a/packages/bendfall-upstream/src/BendfallUpstreamHttpService.ts
+++ b/packages/bendfall-upstream/src/BendfallUpstreamHttpService.ts
@@ -41,6 +41,7 @@
   return {
     method: call.method,
     path: call.path,
+    requestId: call.requestId,
     headers: toHeaders(call),
     body: call.body,
     timeoutMs: call.timeoutMs,
@@ -51,7 +52,6 @@
 
 function toHeaders (call: ServiceCall): Record<string, string> {
   return {
-    'x-request-id': call.requestId,
     ...(call.contentType === '' ? {} : { 'content-type': call.contentType }),
     ...(call.idempotencyKey === '' ? {} : { 'idempotency-key': call.idempotencyKey })
   }
