Handle a unary message only when it is whole, and answer only an open stream

Cause: a message had no length. A client that gives a call up ends its message before it resets the stream, and what is cut decodes as a message whose later fields are absent; a ledger made a booking without an id of each call that was given up before its connection was open. A stream that was reset without an error counts as closed, not as destroyed, and answering it was an error that nobody awaits. Change: the client announces the length, the server compares it where it is announced, and neither handles nor answers a stream that is closed. The length is a header of a few bytes a call, not measured.

--- a/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
@@ -59,7 +59,8 @@
   const timer = setTimeout(giveUp, options.timeoutMs)
   options.signal?.addEventListener('abort', giveUp, { once: true })
   try {
-    stream = await openStream(session, method, headers)
+    // The length tells the peer a whole message from one that was given up.
+    stream = await openStream(session, method, { ...headers, 'content-length': bytes.byteLength })
     const answer = exchange(stream, session)
     if (isGivenUp) giveUp()
     else stream.end(bytes)
--- a/packages/bendfall-node/src/transport/BendfallNodeUnaryServer.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeUnaryServer.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { constants } from 'node:http2'
-import type { OutgoingHttpHeaders, ServerHttp2Stream } from 'node:http2'
+import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerHttp2Stream } from 'node:http2'
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import type { DescMessage, DescMethodUnary, MessageInitShape, MessageShape } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
@@ -58,11 +58,14 @@
       if (!stream.writableEnded) closing.abort()
     })
     stream.on('error', () => {})
-    readBody(stream, (body) => { answer(stream, method, body, (request) => handle(joinSender(request, headers), closing.signal)) })
+    readBody(stream, headers, (body) => { answer(stream, method, body, (request) => handle(joinSender(request, headers), closing.signal)) })
   })
 }
 
-function readBody (stream: ServerHttp2Stream, onBody: (body: Buffer) => void): void {
+// A client that gives a call up may end its message before it resets the stream, and a message
+// that is cut decodes as one whose later fields are absent: a booking without an id was made
+// of each call that was given up before its connection was open.
+function readBody (stream: ServerHttp2Stream, headers: IncomingHttpHeaders, onBody: (body: Buffer) => void): void {
   const chunks: Buffer[] = []
   let bytes = 0
   stream.on('data', (chunk: Buffer) => {
@@ -71,10 +74,21 @@
     else chunks.push(chunk)
   })
   stream.once('end', () => {
-    if (!stream.destroyed && bytes <= MAX_UNARY_BYTES) onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
+    if (isOpen(stream) && isWhole(headers, bytes)) onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
   })
 }
 
+// A stream that was reset without an error is closed, and destroyed only later.
+function isOpen ({ closed, destroyed }: ServerHttp2Stream): boolean {
+  return !closed && !destroyed
+}
+
+// Peers of former versions announce no length.
+function isWhole (headers: IncomingHttpHeaders, bytes: number): boolean {
+  const announced = headers['content-length']
+  return bytes <= MAX_UNARY_BYTES && (announced === undefined || Number(announced) === bytes)
+}
+
 async function answer<I extends DescMessage, O extends DescMessage> (stream: ServerHttp2Stream, method: DescMethodUnary<I, O>, body: Buffer, handle: (request: MessageShape<I>) => MessageInitShape<O> | Promise<MessageInitShape<O>>): Promise<void> {
   try {
     const response = await handle(parse(method.input, body))
@@ -96,7 +110,7 @@
 }
 
 function send (stream: ServerHttp2Stream, status: number, headers: OutgoingHttpHeaders, body: Uint8Array): void {
-  if (stream.destroyed) return
+  if (!isOpen(stream)) return
   stream.respond({ ...headers, ':status': status, 'content-length': body.byteLength })
   stream.end(body)
 }
