--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeExchange.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeExchange.test.ts
@@ -13,13 +13,13 @@
 const QUIET_MS = 1_000
 
 /** What a caller reads from its connection, and whether that was reset. */
-async function readAnswer (answer: (exchange: Exchange) => void): Promise<{ readonly text: string, readonly isReset: boolean }> {
+async function readAnswer (answer: (exchange: Exchange) => void, version = '1.1'): Promise<{ readonly text: string, readonly isReset: boolean }> {
   const server = createServer((request, response) => {
     answer(createExchange({ key: '1', request, response, caller: { requestId: 'a', forwardHeaders: [] }, body: Buffer.alloc(0) }, () => false))
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
-  socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+  socket.write(`GET / HTTP/${version}\r\nHost: a\r\n\r\n`)
   let text = ''
   let isReset = false
   await new Promise<void>((resolve) => {
@@ -63,6 +63,33 @@
   assert.is(isReset, true)
 })
 
+// A caller of HTTP/1.0 got part of an answer and took it for the whole one: the replica
+// sent chunks, which such a caller does not know, so that only the connection told the end,
+// and the entry, which looked at the framing of the replica's answer, closed it in order.
+test('an answer in chunks that breaks off is reset for a caller that gets it without chunks', async () => {
+  const { isReset, text } = await readAnswer((exchange) => {
+    exchange.start(200, { 'transfer-encoding': 'chunked' })
+    exchange.write(Buffer.from('part'), () => {})
+    setTimeout(() => exchange.cut(), 50)
+  }, '1.0')
+  assert.not.match(text, /content-length|transfer-encoding/i)
+  assert.is(isReset, true)
+})
+
+test('an answer without a length that has begun is reset when it is refused', async () => {
+  const { isReset } = await readAnswer((exchange) => {
+    exchange.start(200, {})
+    exchange.write(Buffer.from('part'), () => {})
+    setTimeout(() => exchange.refuse(502, 'replica_failed'), 50)
+  })
+  assert.is(isReset, true)
+})
+
+test('an answer that has not begun does not end as a whole one', async () => {
+  const { text } = await readAnswer((exchange) => exchange.end())
+  assert.is(text, '')
+})
+
 test('a refusal tells when to come back, in seconds', async () => {
   const { text } = await readAnswer((exchange) => exchange.refuse(503, 'no_memory', 420))
   assert.match(text, /^HTTP\/1.1 503/)
