Reset answers that break off by the framing that their caller gets

Cause: how a cut ends was decided by the framing of the replica's answer. Callers of HTTP/1.0 get an answer in chunks without them, and a refusal after the head closed in order, so that both looked complete. An answer whose head was never sent is cut instead of ended.

--- a/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
@@ -31,10 +31,11 @@
   readonly start: (status: number, headers: IncomingHttpHeaders) => void
   /** @returns false when the caller reads slower than the replica writes */
   readonly write: (chunk: Buffer, onDrain: () => void) => boolean
+  /** Ends an answer that has begun; one that has not is cut. */
   readonly end: () => void
-  /** Answers in the router's own name. */
+  /** Answers in the router's own name; an answer that has begun is cut. */
   readonly refuse: (status: number, reason: string, retryAfterMs?: number) => void
-  /** Closes the connection, so that the answer does not look complete. */
+  /** Ends the connection at once, so that the answer does not look complete. */
   readonly cut: () => void
 }
 
@@ -53,11 +54,20 @@
   let endsWithConnection = false
 
   function writeHead (status: number, headers: IncomingHttpHeaders, bodyBytes?: number): void {
-    endsWithConnection = isWithoutLength(headers)
-    if (endsWithConnection) leaveWithoutLength(response)
+    const isUnframed = isWithoutLength(headers)
+    if (isUnframed) leaveWithoutLength(response)
     else if (bodyBytes !== undefined) response.setHeader('content-length', bodyBytes)
     if (isStopping()) response.setHeader('connection', 'close')
     response.writeHead(status, toCallerHeaders(headers))
+    const hasLength = !isUnframed && (bodyBytes !== undefined || headers['content-length'] !== undefined)
+    // As the caller gets it: one of HTTP/1.0 gets an answer in chunks without them.
+    endsWithConnection = !hasLength && !response.chunkedEncoding
+  }
+
+  function cut (): void {
+    // Closed in order, an answer whose end only its connection tells would look complete.
+    if (endsWithConnection) response.socket?.resetAndDestroy()
+    response.destroy()
   }
 
   return {
@@ -75,13 +85,15 @@
       response.once('drain', onDrain)
       return false
     },
-    end: () => response.end(),
-    refuse: (status, reason, retryAfterMs) => refuse(response, status, reason, isStopping(), caller.requestId, retryAfterMs),
-    cut: () => {
-      // Closed in order, an answer without a length would look complete.
-      if (endsWithConnection) response.socket?.resetAndDestroy()
-      response.destroy()
-    }
+    end: () => {
+      if (response.headersSent) response.end()
+      else cut()
+    },
+    refuse: (status, reason, retryAfterMs) => {
+      if (response.headersSent) cut()
+      else refuse(response, status, reason, isStopping(), caller.requestId, retryAfterMs)
+    },
+    cut
   }
 }
 
