Read the late answer after its connection ended

The test read the text before the end it waited for, and so would have failed on any code. Read afterwards it fails on the code as it is, since the second SIGTERM ends the process.

--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesEnds.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesEnds.test.ts
@@ -81,7 +81,8 @@
       if (scene.process.isRunning()) process.kill(scene.process.pid, signal)
       await sleep(100)
     }
-    const [answer] = readAnswers(late.text(), await late.ended)
+    const end = await late.ended
+    const [answer] = readAnswers(late.text(), end)
     assert.is(answer?.body, 'answer to /call/1500/late')
     assert.is(answer.looksComplete, true)
     assert.is(await scene.process.exited, 0)
