Cut what callers wait for before the process of the entry ends

Cause: at the end of a process the kernel closes its connections in order, so that the callers of half an answer without a length took it for whole. At the end of the grace time, on an error or rejection that nobody caught, when the stop failed and on any exit of the process, all answers that are not out are cut now, synchronously, before the server closes. The server's own close is no help: it ends connections in order also under an answer that is whole but not written; the stop waits for those until the end of the grace time. A further SIGTERM, and SIGINT, ended the process at once; both now go on with the stop.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -15,6 +15,8 @@
 import { CONFIG_APPLY_MS, decisionsOf, DRAIN_MS } from './BendfallEdgeSettings.js'
 import { createExchange } from './caller/BendfallEdgeExchange.js'
 import type { Exchange } from './caller/BendfallEdgeExchange.js'
+import { createOpenExchanges } from './caller/BendfallEdgeOpenExchanges.js'
+import type { OpenExchanges } from './caller/BendfallEdgeOpenExchanges.js'
 import { createCallerServer, FIRST_LIMITS } from './caller/BendfallEdgeServer.js'
 import type { WholeRequest } from './caller/BendfallEdgeServer.js'
 import { registerDirectory } from './directory/BendfallEdgeDirectory.js'
@@ -41,8 +43,10 @@
 /** An entry that runs. */
 export interface Entry {
   readonly state: () => RouterState
-  /** Says not ready, finishes what runs and stops. */
+  /** Says not ready, finishes what runs, cuts what the grace time does not suffice for, and stops. */
   readonly stop: () => Promise<void>
+  /** Cuts all answers that are not out, at once; for the end of the process. */
+  readonly cutOpen: () => void
 }
 
 /** Callers are sent here until the platform has seen that the process is not ready: two questions, a second apart, and one more. */
@@ -53,6 +57,9 @@
 
 const MS_PER_SECOND = 1_000
 
+/** Requests named in the line about cut answers. */
+const LOGGED_CUTS = 50
+
 /** Between two looks whether all requests have ended. */
 const STOP_CHECK_MS = 50
 
@@ -70,6 +77,7 @@
   const state = createRouterState(Math.floor(Math.random() * 0xffffffff), settings.instanceId, decisionsOf(settings))
   const loop = createUpdateLoop<RouterEvent, RouterEffect>((event) => reduceRouter(state, event), clock)
   const exchanges = new Map<string, Exchange>()
+  const open = createOpenExchanges()
   const pools = createReplicaPools(() => metrics.count('bendfall_connections_opened_total'))
   let hasReplicas = false
   let isStopping = false
@@ -85,7 +93,7 @@
     },
     onRequest: (request) => {
       nextKey += 1
-      takeRequest(loop, exchanges, request, String(nextKey), () => isStopping)
+      takeRequest(loop, exchanges, open, request, String(nextKey), () => isStopping)
     }
   })
   const ledgers = registerLedgerClients({ loop, logger, port: settings.peerPorts[0] })
@@ -146,17 +154,24 @@
     const isOver = (): boolean => {
       const elapsedMs = clock.nowMs() - startedMs
       if (elapsedMs >= settings.stopGraceS * MS_PER_SECOND - KILL_MARGIN_MS) return true
-      return elapsedMs >= LINGER_MS && state.requests.size === 0
+      return elapsedMs >= LINGER_MS && state.requests.size === 0 && open.size() === 0
     }
     while (!isOver()) await new Promise<void>((resolve) => { clock.callAt(clock.nowMs() + STOP_CHECK_MS, resolve) })
     logger.info('stopped', { open: state.requests.size })
+    // Before the server closes: it closes connections in order, also under an answer that is whole but not out.
+    cutOpen()
     callers.server.close()
-    callers.server.closeIdleConnections()
+    callers.server.closeAllConnections()
     ready.close()
     await teardowns.run()
   }
 
-  return { state: () => state, stop }
+  function cutOpen (): void {
+    const cut = open.cutAll()
+    if (cut.length > 0) logger.warn('answers_cut', { answers: cut.length, requests: cut.slice(0, LOGGED_CUTS).map(({ caller }) => caller.requestId).join(' ') })
+  }
+
+  return { state: () => state, stop, cutOpen }
 }
 
 function createReadyServer (path: string, isReady: () => boolean): Server {
@@ -167,12 +182,11 @@
   })
 }
 
-function takeRequest (loop: UpdateLoop<RouterEvent, RouterEffect>, exchanges: Map<string, Exchange>, whole: WholeRequest, key: string, isStopping: () => boolean): void {
-  const { caller, request, response } = whole
-  exchanges.set(key, createExchange({ key, ...whole }, isStopping))
-  response.once('close', () => {
-    if (!response.writableFinished) loop.dispatch({ type: 'caller_left', key })
-  })
+function takeRequest (loop: UpdateLoop<RouterEvent, RouterEffect>, exchanges: Map<string, Exchange>, open: OpenExchanges, whole: WholeRequest, key: string, isStopping: () => boolean): void {
+  const { caller, request } = whole
+  const exchange = createExchange({ key, ...whole }, isStopping)
+  exchanges.set(key, exchange)
+  open.add(exchange, () => loop.dispatch({ type: 'caller_left', key }))
   loop.dispatch({
     type: 'request_arrived',
     arrival: {
--- a/packages/bendfall/src/BendfallPlatformMain.ts
+++ b/packages/bendfall/src/BendfallPlatformMain.ts
@@ -18,10 +18,15 @@
 /** Ports of the metrics; they stand in the deploy file too. */
 const METRICS_PORTS = { entry: 9464, sidecar: 9465 } as const
 
+/** Asked once, a process stops; asked again, it goes on stopping. */
+const STOP_SIGNALS = ['SIGINT', 'SIGTERM'] as const
+
 type RoleName = keyof typeof METRICS_PORTS
 
 interface Running {
   readonly stop: () => Promise<void>
+  /** Cuts what callers wait for, at once; absent where there are no callers. */
+  readonly cutOpen?: () => void
 }
 
 type Starter = (settings: EdgeSettings, logger: Logger, metrics: Metrics) => Promise<Running>
@@ -32,6 +37,7 @@
     const poolIntent = await loadPoolIntent(settings, logger)
     const entry = await startEntry({ settings, logger, metrics, dialect: PLATFORM_DIALECT, keyValue, poolIntent })
     return {
+      cutOpen: entry.cutOpen,
       stop: async () => {
         await entry.stop()
         await keyValue.close()
@@ -73,30 +79,45 @@
   if (settings === undefined) return
   const output = createLogOutput(process.stdout)
   const logger = createLogger({ level: settings.log?.level ?? 'info', base: { instance: settings.instanceId }, write: output.write })
-  logUncaught(logger)
+  const setRunning = registerEnds(logger)
   const metrics = createMetrics()
   metrics.gauge('bendfall_log_lines_dropped_total', output.dropped)
   const metricsServer = createMetricsServer(metrics)
   // Metrics are no reason to refuse service.
   metricsServer.on('error', (error) => logger.error('metrics_unavailable', { error }))
   metricsServer.listen(METRICS_PORTS[role], settings.ip)
-  const running = await STARTERS[role](settings, logger, metrics)
-  process.on('SIGHUP', () => reload(logger))
-  process.once('SIGTERM', () => {
-    running.stop().then(() => process.exit(), (error: unknown) => {
-      logger.error('stop_failed', { error })
-      process.exit(EXIT_FAILED)
-    })
-  })
+  setRunning(await STARTERS[role](settings, logger, metrics))
 }
 
-// An error that nobody caught ends the process, as Node does by itself; the line tells why,
-// in the log where the cut answers are looked for.
-function logUncaught (logger: Logger): void {
+// At its end the kernel closes the connections of a process in order, which makes half an
+// answer whose end only its connection tells look whole: 30 of 30 at the end of the grace
+// time, as many after an error. So each end that the process learns of cuts what is open.
+function registerEnds (logger: Logger): (started: Running) => void {
+  let running: Running | undefined
+  let isStopping = false
+  process.on('exit', () => running?.cutOpen?.())
   process.once('uncaughtException', (error) => {
+    running?.cutOpen?.()
     logger.error('process_failed', { error })
     process.exit(EXIT_FAILED)
   })
+  process.on('SIGHUP', () => reload(logger))
+  for (const signal of STOP_SIGNALS) {
+    process.on(signal, () => {
+      if (isStopping) return
+      isStopping = true
+      stop(logger, running)
+    })
+  }
+  return (started) => { running = started }
+}
+
+function stop (logger: Logger, running: Running | undefined): void {
+  if (running === undefined) process.exit()
+  running.stop().then(() => process.exit(), (error: unknown) => {
+    logger.error('stop_failed', { error })
+    process.exit(EXIT_FAILED)
+  })
 }
 
 // Every setting belongs to the process's place on the platform, which does not
