--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesEnds.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesEnds.test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { inEndsScene, readAnswers, until } from './EndsScene.js'
+import { inEndsScene, LARGE_BODY, readAnswers, until } from './EndsScene.js'
 import type { EndsScene, RawCaller } from './EndsScene.js'
 
 // A caller got an answer that was not whole. The replica passed on a stream that has neither
@@ -12,6 +12,15 @@
 
 const SEEN_BYTES = 400
 
+/** Answers of 250 KB that no connection holds at once: the kernel took 16 of them. */
+const SLOW_CALLS = 40
+
+/** Until answers that come at once have come. */
+const SETTLED_MS = 1_000
+
+/** A process without open requests ends 3.2 s after the signal. */
+const LONGER_THAN_IDLE_STOP_MS = 4_000
+
 /** Callers of half-delivered streams, in each framing and with an old protocol version. */
 async function startStreams (scene: EndsScene): Promise<RawCaller[]> {
   const callers = [
@@ -89,4 +98,23 @@
   })
 })
 
+// Answers that were whole in the process were broken off at its end, since their caller read
+// slowly: the server's close ends a connection as soon as the last answer was handed to it.
+test('whole answers that a slow caller has not read yet are delivered before the process ends', async () => {
+  await inEndsScene({ stopGraceS: 12 }, async (scene) => {
+    const paths = Array.from({ length: SLOW_CALLS }, (_, index) => ({ path: `/call/large/${index}` }))
+    const slow = scene.call(paths, { isReading: false })
+    await until(() => scene.reached.length > 0)
+    await sleep(SETTLED_MS)
+    scene.process.signal('SIGTERM')
+    await sleep(LONGER_THAN_IDLE_STOP_MS)
+    slow.socket.resume()
+    const end = await slow.ended
+    const answers = readAnswers(slow.text(), end)
+    assert.is(answers.filter(({ body }) => body === LARGE_BODY).length, SLOW_CALLS)
+    assert.is(answers.length, SLOW_CALLS)
+    assert.is(await scene.process.exited, 0)
+  })
+})
+
 test.run()
--- a/packages/bendfall-fakes/src/__tests__/unit/EndsScene.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/EndsScene.ts
@@ -146,12 +146,15 @@
   const socket = connect(CALLERS_PORT, ENTRY)
   const chunks: Buffer[] = []
   let isReset = false
+  let isClosing = false
+  socket.once('prefinish', () => { isClosing = true })
   socket.write(requests.map(({ path, version = '1.1' }) => `GET ${path} HTTP/${version}\r\nHost: ${HOST}\r\nX-Request-Id: ${requestIdOf(path)}\r\nX-Deadline-Ms: 10000\r\n\r\n`).join(''))
   socket.on('data', (chunk: Buffer) => chunks.push(chunk))
   if (!isReading) socket.pause()
   socket.once('error', () => { isReset = true })
-  // A reset that is found together with the last bytes comes as an end; such a socket has no peer any more.
-  socket.once('end', () => { isReset ||= socket.remoteAddress === undefined })
+  // A reset that is found together with the last bytes comes as an end; such a socket has no peer any more,
+  // as one that both sides closed.
+  socket.once('end', () => { isReset ||= !isClosing && socket.remoteAddress === undefined })
   return {
     socket,
     text: () => Buffer.concat(chunks).toString('latin1'),
