--- /dev/null
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesEnds.test.ts
@@ -0,0 +1,120 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { inEndsScene, LARGE_BODY, readAnswers, until } from './EndsScene.js'
+import type { EndsScene, RawCaller } from './EndsScene.js'
+
+// A caller got an answer that was not whole. The replica passed on a stream that has neither
+// a length nor chunks, whose end only its connection tells; before its end the process of the
+// entry ended, and the kernel closed the connections of its callers in order, so that what
+// had come until then looked like the whole answer. Each way in which a process ends by
+// itself is played here with a real one; a caller at its socket tells a reset from an end.
+
+const SEEN_BYTES = 400
+
+/** Answers of 250 KB that no connection holds at once: the kernel took 16 of them. */
+const SLOW_CALLS = 40
+
+/** Until answers that come at once have come. */
+const SETTLED_MS = 1_000
+
+/** A process without open requests ends 3.2 s after the signal. */
+const LONGER_THAN_IDLE_STOP_MS = 4_000
+
+/** Callers of half-delivered streams, in each framing and with an old protocol version. */
+async function startStreams (scene: EndsScene): Promise<RawCaller[]> {
+  const callers = [
+    scene.call([{ path: '/stream/unframed/1' }]),
+    scene.call([{ path: '/stream/unframed/2' }]),
+    scene.call([{ path: '/stream/chunked/3' }]),
+    scene.call([{ path: '/stream/chunked/4', version: '1.0' }]),
+    scene.call([{ path: '/stream/unframed/5', version: '1.0' }])
+  ]
+  await until(() => callers.every(({ text }) => text().length > SEEN_BYTES))
+  return callers
+}
+
+async function assertNoneLooksComplete (callers: readonly RawCaller[]): Promise<void> {
+  for (const caller of callers) {
+    const end = await caller.ended
+    const [answer, ...others] = readAnswers(caller.text(), end)
+    assert.is(answer?.status, 200)
+    assert.ok(answer !== undefined && !answer.looksComplete, `${answer?.framing} ${end} ${answer?.body.slice(-40)}`)
+    assert.is(others.length, 0)
+  }
+}
+
+test('streams that outlast the grace time do not look complete', async () => {
+  await inEndsScene({}, async (scene) => {
+    const callers = await startStreams(scene)
+    scene.process.signal('SIGTERM')
+    assert.is(await scene.process.exited, 0)
+    await assertNoneLooksComplete(callers)
+  })
+})
+
+test('streams do not look complete when an error ends the process', async () => {
+  await inEndsScene({ preload: 'process.on("SIGUSR2",()=>{throw new Error("nobody catches it")})' }, async (scene) => {
+    const callers = await startStreams(scene)
+    process.kill(scene.process.pid, 'SIGUSR2')
+    assert.is(await scene.process.exited, 1)
+    await assertNoneLooksComplete(callers)
+    assert.ok(scene.process.lines.some((line) => line.includes('event=process_failed') && line.includes('nobody catches it')))
+  })
+})
+
+test('streams do not look complete when a rejection ends the process', async () => {
+  await inEndsScene({ preload: 'process.on("SIGUSR2",()=>{Promise.reject(new Error("nobody catches it"))})' }, async (scene) => {
+    const callers = await startStreams(scene)
+    process.kill(scene.process.pid, 'SIGUSR2')
+    assert.is(await scene.process.exited, 1)
+    await assertNoneLooksComplete(callers)
+  })
+})
+
+test('streams do not look complete when the stop fails', async () => {
+  await inEndsScene({ preload: 'import{Server}from"node:http";Server.prototype.close=()=>{throw new Error("close")}' }, async (scene) => {
+    const callers = await startStreams(scene)
+    scene.process.signal('SIGTERM')
+    assert.is(await scene.process.exited, 1)
+    await assertNoneLooksComplete(callers)
+    assert.ok(scene.process.lines.some((line) => line.includes('event=stop_failed')))
+  })
+})
+
+test('further signals do not end a process that stops', async () => {
+  await inEndsScene({ stopGraceS: 6 }, async (scene) => {
+    const late = scene.call([{ path: '/call/1500/late' }])
+    await until(() => scene.reached.length === 1)
+    for (const signal of ['SIGTERM', 'SIGHUP', 'SIGTERM', 'SIGTERM'] as const) {
+      if (scene.process.isRunning()) process.kill(scene.process.pid, signal)
+      await sleep(100)
+    }
+    const end = await late.ended
+    const [answer] = readAnswers(late.text(), end)
+    assert.is(answer?.body, 'answer to /call/1500/late')
+    assert.is(answer.looksComplete, true)
+    assert.is(await scene.process.exited, 0)
+  })
+})
+
+// Answers that were whole in the process were broken off at its end, since their caller read
+// slowly: the server's close ends a connection as soon as the last answer was handed to it.
+test('whole answers that a slow caller has not read yet are delivered before the process ends', async () => {
+  await inEndsScene({ stopGraceS: 12 }, async (scene) => {
+    const paths = Array.from({ length: SLOW_CALLS }, (_, index) => ({ path: `/call/large/${index}` }))
+    const slow = scene.call(paths, { isReading: false })
+    await until(() => scene.reached.length > 0)
+    await sleep(SETTLED_MS)
+    scene.process.signal('SIGTERM')
+    await sleep(LONGER_THAN_IDLE_STOP_MS)
+    slow.socket.resume()
+    const end = await slow.ended
+    const answers = readAnswers(slow.text(), end)
+    assert.is(answers.filter(({ body }) => body === LARGE_BODY).length, SLOW_CALLS)
+    assert.is(answers.length, SLOW_CALLS)
+    assert.is(await scene.process.exited, 0)
+  })
+})
+
+test.run()
