--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesFleet.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesFleet.test.ts
@@ -213,6 +213,43 @@
   assert.is((await ask({ path: '/k/1', method: 'POST' })).status, 200)
 })
 
+// Back ends that stutter answer twice, the second time on the connection of a later request.
+test('a run goes on from the memory of its own prompt when replicas answer twice', async () => {
+  const { prefill } = fleet.models
+  prefill.answerTwice()
+  const asked = Array.from({ length: 8 }, (_, index) => `twice-${index}`)
+  for (const id of asked) await ask({ path: '/s/1', method: 'POST', body: 'document', headers: { ...PROMPT, 'x-request-id': id } })
+  const owners = new Map(prefill.seen.map(({ handle, requestId }) => [handle, requestId]))
+  const runs = decodes.flatMap(({ seen }) => seen).filter(({ requestId }) => asked.includes(requestId))
+  assert.ok(runs.length >= asked.length)
+  for (const { headers, requestId } of runs) {
+    const handle = String(headers['x-kv-source'] ?? '').split('/')[1]
+    if (handle !== undefined) assert.is(owners.get(handle), requestId)
+  }
+})
+
+test('a caller gets its own answer or none when replicas answer twice', async () => {
+  for (const replica of fleet.plain) replica.answerTwice()
+  for (let i = 0; i < 12; i++) {
+    const id = `stutter-${i}`
+    const answer = await ask({ path: '/k/1', method: 'POST', body: 'x', headers: { 'x-request-id': id } })
+    assert.ok(answer.status === 502 || (answer.status === 200 && answer.body === `answer to ${id}`), `${answer.status} ${answer.body}`)
+    assert.is(runsOf(id), 1)
+  }
+})
+
+test('a refusal that comes twice does not speak for the request behind it', async () => {
+  for (const replica of fleet.plain) replica.answerTwice()
+  for (let i = 0; i < 12; i++) {
+    fleet.plain[i % 2]?.failNext('not_run')
+    const id = `refused-${i}`
+    const answer = await ask({ path: '/k/1', method: 'POST', body: 'x', headers: { 'x-request-id': id } })
+    const refusals = fleet.plain.flatMap(({ seen }) => seen).filter(({ isRefused, requestId }) => isRefused && requestId === id).length
+    assert.ok(runsOf(id) - refusals <= 1)
+    if (answer.status === 503) assert.is(runsOf(id), refusals)
+  }
+})
+
 const BAD: ReadonlyArray<readonly [string, Ask, number]> = [
   ['a path without a route', { path: '/none/' }, 404],
   ['a deadline that is no number', { path: '/r/1', headers: { 'x-deadline-ms': 'soon' } }, 400],
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { answerJson, startFleetServer } from './BendfallFakesFleetServer.js'
 import type { FleetServer } from './BendfallFakesFleetServer.js'
 
@@ -36,6 +37,8 @@
   isAborted: boolean
   /** Whether the replica said that it did not run the request. */
   isRefused: boolean
+  /** Handle of the prompt that was read. */
+  handle?: string
 }
 
 /** The stand-in. */
@@ -43,7 +46,12 @@
   readonly seen: readonly SeenRequest[]
   /** Fails the next request that it is asked to run. */
   readonly failNext: (fault: FleetReplicaFault) => void
-  /** Forgets faults that no request met. */
+  /**
+   * From now on each answer but a stream comes a second time, when the next request is on
+   * its connection and before that one's answer.
+   */
+  readonly answerTwice: () => void
+  /** Forgets faults that no request met, and answers once. */
   readonly heal: () => void
   readonly stage: () => string | undefined
   /** Start of its process, Unix milliseconds. */
@@ -74,6 +82,8 @@
   const runs = new Map<string, Run>()
   const handles = new Set<string>()
   const faults: FleetReplicaFault[] = []
+  const secondAnswers = new WeakMap<Socket, string>()
+  let isAnsweringTwice = false
   let { stage } = options
   let nextHandle = 1
   let startedAtMs = Date.now()
@@ -103,15 +113,35 @@
     return one
   }
 
-  function refuse (response: ServerResponse): void {
-    answerJson(response, 503, {}, { 'x-not-executed': '1', 'x-instance-id': replicaId })
+  // Replicas echo the id of a request in each answer to it, whatever its status.
+  function answer (request: IncomingMessage, response: ServerResponse, status: number, body: string, headers: Readonly<Record<string, string>> = {}): void {
+    const all = { 'x-request-id': String(request.headers['x-request-id']), 'content-length': String(Buffer.byteLength(body)), ...headers }
+    response.writeHead(status, all)
+    response.end(body)
+    if (isAnsweringTwice) secondAnswers.set(request.socket, rawAnswer(status, all, body))
+  }
+
+  function sendSecondAnswer ({ socket }: IncomingMessage): void {
+    const bytes = secondAnswers.get(socket)
+    secondAnswers.delete(socket)
+    if (bytes !== undefined) socket.write(bytes)
+  }
+
+  function refuse (request: IncomingMessage, response: ServerResponse): void {
+    answer(request, response, 503, '{}', { 'x-not-executed': '1', 'x-instance-id': replicaId })
+  }
+
+  function misdirect (request: IncomingMessage, response: ServerResponse): void {
+    answer(request, response, 421, '{}', { 'x-instance-id': replicaId })
   }
 
   function prefill (request: IncomingMessage, body: Buffer, response: ServerResponse): void {
-    note(request, body, response, 'prefill')
+    const one = note(request, body, response, 'prefill')
     const handle = `${replicaId}-${nextHandle++}`
     handles.add(handle)
-    setTimeout(() => answerJson(response, 200, { 'cache-handle': handle, tokens: promptTokens(request), version: 1 }), promptTokens(request) / PREFILL_TOKENS_PER_MS)
+    one.handle = handle
+    const result = JSON.stringify({ 'cache-handle': handle, tokens: promptTokens(request), version: 1 })
+    setTimeout(() => answer(request, response, 200, result, { 'content-type': 'application/json' }), promptTokens(request) / PREFILL_TOKENS_PER_MS)
   }
 
   function run (request: IncomingMessage, body: Buffer, response: ServerResponse): void {
@@ -119,19 +149,23 @@
     const fault = faults.shift()
     if (fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) {
       one.isRefused = true
-      return refuse(response)
+      return refuse(request, response)
     }
     if (fault === 'reset' || fault === 'garbled') {
       breakOff(request, fault)
       return
     }
-    response.writeHead(200, {
+    const headers = {
       'x-request-id': fault === 'other_request' ? 'another' : one.requestId,
       ...(fault === 'unsigned' ? {} : { 'x-response-stamp': replicaId }),
       'content-type': stage === undefined ? 'text/plain' : 'text/event-stream'
-    })
-    if (stage === undefined) setTimeout(() => response.end(`answer to ${one.requestId}`), answerMs)
-    else stream(one, promptTokens(request), Number(request.headers['last-event-id'] ?? 0), response, fault === 'break_off')
+    }
+    if (stage === undefined) {
+      setTimeout(() => answer(request, response, 200, `answer to ${one.requestId}`, headers), answerMs)
+      return
+    }
+    response.writeHead(200, headers)
+    stream(one, promptTokens(request), Number(request.headers['last-event-id'] ?? 0), response, fault === 'break_off')
   }
 
   function stream (one: SeenRequest, promptLength: number, after: number, response: ServerResponse, isBrokenOff: boolean): void {
@@ -161,22 +195,41 @@
 
   const server = await startFleetServer(options.host, (request, body, response) => {
     const path = request.url ?? '/'
+    sendSecondAnswer(request)
     if (path === '/api/report') return report(response)
     if (path.startsWith('/api/kv-handle/')) {
       handles.delete(path.slice('/api/kv-handle/'.length))
       return answerJson(response, 200, {})
     }
-    if ((request.headers['x-expect-instance'] ?? replicaId) !== replicaId) return answerJson(response, 421, {}, { 'x-instance-id': replicaId })
+    if ((request.headers['x-expect-instance'] ?? replicaId) !== replicaId) return misdirect(request, response)
     if (path === '/api/order') {
       stage = (JSON.parse(body.toString()) as { readonly stage: 'prefill' | 'decode' }).stage
       return answerJson(response, 202, {})
     }
     const wantsPrefill = request.headers['x-serving-stage'] === 'prefill'
-    if (stage !== undefined && wantsPrefill !== (stage === 'prefill')) return answerJson(response, 421, {}, { 'x-instance-id': replicaId })
+    if (stage !== undefined && wantsPrefill !== (stage === 'prefill')) return misdirect(request, response)
     if (wantsPrefill) prefill(request, body, response)
     else run(request, body, response)
   })
-  return { ...server, seen, stage: () => stage, startedAtMs: () => startedAtMs, restart, running: () => runs.size, failNext: (fault) => { faults.push(fault) }, heal: () => { faults.length = 0 } }
+  return {
+    ...server,
+    seen,
+    stage: () => stage,
+    startedAtMs: () => startedAtMs,
+    restart,
+    running: () => runs.size,
+    failNext: (fault) => { faults.push(fault) },
+    answerTwice: () => { isAnsweringTwice = true },
+    heal: () => {
+      faults.length = 0
+      isAnsweringTwice = false
+    }
+  }
+}
+
+function rawAnswer (status: number, headers: Readonly<Record<string, string>>, body: string): string {
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`)
+  return [`HTTP/1.1 ${status} Again`, ...lines, '', body].join('\r\n')
 }
 
 function breakOff ({ socket }: IncomingMessage, fault: 'reset' | 'garbled'): void {
