Believe an answer only if it belongs to the very call

Cause: the id of an answer was compared for runs only, and after its status had been believed. A second answer that came late, on the connection of the next request, gave a prefill the handle of another request, so that a run went on from another's memory, and made a run that worked count as not run. Holds, orders and freed handles, whose answers bear no id, shared connections with runs. The id can't tell two answers to the same request apart either: a prefill and its run at one replica, or a call that was refused and sent again.

Change: one place judges each head before anything is read from it. An answer to a run or a prefill must echo the id, whatever its status; any other ends the call as one that may have run, closes the connection, and is logged and counted. A connection carries no two calls of the same id. Calls to which replicas echo no id have a connection of their own that is closed after. A connection on which bytes came while it was idle isn't used again.

Not seen: an empty line in the segment of an answer, which the parser passes over.

--- a/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
@@ -9,7 +9,7 @@
 import type { OrderOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
 import type { ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
-import { startReplicaCall } from '../replica/BendfallEdgeReplicaCall.js'
+import { startOwnCall } from '../replica/BendfallEdgeOwnCall.js'
 import { joinElection } from './BendfallEdgeHolderLease.js'
 
 /** Key of the process that orders stage changes. */
@@ -54,21 +54,9 @@
 
   function order ({ address, fence, replicaId, stage }: RouterEffectOf<'order_stage'>): void {
     const request = dialect.stageOrder({ replicaId, stage, fence, holder: instanceId })
-    let status = 0
-    const call = startReplicaCall(poolOf(address), request, {
-      onHead: (answered) => { status = answered },
-      onChunk: () => {},
-      onEnd: () => finish(dialect.readOrderStatus(status)),
-      onFail: (_, isSent) => finish(isSent ? 'unknown' : 'refused')
+    startOwnCall(poolOf(address), request, { clock: loop.clock, timeoutMs: ORDER_TIMEOUT_MS }, (answer) => {
+      takeOutcome(replicaId, answer.type === 'answered' ? dialect.readOrderStatus(answer.status) : answer.isSent ? 'unknown' : 'refused')
     })
-    const cancel = loop.clock.callAt(loop.clock.nowMs() + ORDER_TIMEOUT_MS, () => {
-      call.abort()
-      finish('unknown')
-    })
-    function finish (outcome: OrderOutcome): void {
-      cancel()
-      takeOutcome(replicaId, outcome)
-    }
   }
 
   tick()
--- /dev/null
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeAnswerIdentity.ts
@@ -0,0 +1,67 @@
+/**
+ * Decides whether an answer belongs to the call that waits for it. Replicas may answer
+ * twice, the second time when the next request is on the connection: only an answer that
+ * echoes the id of its own request is read at all, whatever its status.
+ *
+ * @module
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { AnswerHead, ReplicaDialect } from '../BendfallEdgeDialect.js'
+import type { ConnectionPool } from './BendfallEdgeConnections.js'
+import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
+import type { ReplicaCall, ReplicaCallListener, ReplicaCallRequest } from './BendfallEdgeReplicaCall.js'
+
+/** A call whose answer echoes its id. */
+export interface IdentifiedRequest extends ReplicaCallRequest {
+  readonly requestId: string
+}
+
+/** Takes what comes of a call; after `onEnd` or `onFail` nothing more comes. */
+export interface IdentifiedListener extends Omit<ReplicaCallListener, 'onHead'> {
+  /** Called for an answer to this very request only. */
+  readonly onHead: (status: number, headers: IncomingHttpHeaders, head: AnswerHead) => void
+}
+
+/** What identified calls need. */
+export interface IdentityOptions {
+  readonly dialect: Pick<ReplicaDialect, 'readAnswerHead'>
+  /** Told of answers that are not those of the request. */
+  readonly onGarbled: (requestId: string, detail: string) => void
+}
+
+/** What came belongs to another request, or does not tell to which. */
+class ForeignAnswerError extends Error {
+  override readonly name = 'ForeignAnswerError'
+}
+
+/**
+ * Starts a call. An answer that is not its own ends it as one that may have run, and
+ * closes the connection: the call's own answer may be behind it.
+ *
+ * @param options - how heads are read, and who is told
+ * @param pool - connections to the replica
+ * @param request - the call
+ * @param listener - takes what comes of it
+ * @returns the call
+ */
+export function startIdentifiedCall (options: IdentityOptions, pool: ConnectionPool, request: IdentifiedRequest, listener: IdentifiedListener): ReplicaCall {
+  const { dialect, onGarbled } = options
+  const { requestId } = request
+  const call = startReplicaCall(pool, request, {
+    ...listener,
+    onHead: (status, headers) => {
+      const head = dialect.readAnswerHead(status, headers)
+      const foreign = describeForeign(requestId, head)
+      if (foreign === undefined) return listener.onHead(status, headers, head)
+      call.abort()
+      onGarbled(requestId, foreign)
+      listener.onFail(new ForeignAnswerError(foreign), true)
+    }
+  })
+  return call
+}
+
+function describeForeign (requestId: string, head: AnswerHead): string | undefined {
+  if (head.requestId === undefined) return 'answer without a request id'
+  return head.requestId === requestId ? undefined : `answer to another request: ${head.requestId}`
+}
--- a/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
@@ -1,9 +1,10 @@
 /**
  * Connections to one replica: one request at a time on each, the one used last
- * first, so that few stay open.
+ * first, so that few stay open. None is used again after anything unasked came on it.
  *
  * @module
  */
+import type { Socket } from 'node:net'
 import { Client } from 'undici'
 import { connectReplica } from './BendfallEdgeReplicaSocket.js'
 import type { ConnectCallback, ConnectionEnd } from './BendfallEdgeReplicaSocket.js'
@@ -20,6 +21,9 @@
 /** Head of an answer at most. */
 const MAX_HEAD_BYTES = 32_768
 
+/** Requests that a connection carries at most; it remembers their ids, some 100 bytes each. */
+const MOST_REQUESTS = 256
+
 /** A connection that one request uses at a time. */
 export interface Connection {
   readonly client: Client
@@ -30,12 +34,27 @@
    * former one.
    */
   readonly onEnding: (listener: () => void) => void
+  /** Ids of the requests that it carried; absent: it carries one call. */
+  readonly requestIds?: Set<string>
+  /** Bytes that came on it so far. */
+  readonly bytesRead: () => number
+}
+
+/** A connection that waits for its next request. */
+interface IdleConnection {
+  readonly connection: Connection
+  /** Bytes that had come when its last answer had ended. */
+  readonly bytesRead: number
 }
 
 /** Connections to one replica. */
 export interface ConnectionPool {
-  /** @returns a connection that no request uses */
-  readonly take: () => Connection
+  /**
+   * @param requestId - of the request; absent: the answer bears no id
+   * @returns a connection that no request uses and that carried none of the same id, since
+   * the id does not tell a second answer to the earlier one; a new one without an id
+   */
+  readonly take: (requestId?: string) => Connection
   /** Gives a connection back after its answer. */
   readonly giveBack: (connection: Connection) => void
   /** Ends the connections that no request uses. */
@@ -52,10 +71,11 @@
  * @returns the pool
  */
 export function createConnectionPool (address: string, onConnect: () => void): ConnectionPool {
-  const idle: Connection[] = []
+  const idle: IdleConnection[] = []
   const all = new Set<Client>()
 
-  function open (): Connection {
+  function open (requestIds?: Set<string>): Connection {
+    let socket: Socket | undefined
     let end: ConnectionEnd | undefined
     let tellEnding = (): void => {}
     const onEnd = (ended: ConnectionEnd): void => {
@@ -66,7 +86,10 @@
       connect: ({ hostname, port }, callback) => {
         end = undefined
         connectReplica({ host: hostname, port: Number(port === '' ? HTTP_PORT : port), onEnd }, (...result) => {
-          if (result[0] === null) onConnect()
+          if (result[0] === null) {
+            socket = result[1]
+            onConnect()
+          }
           ;(callback as ConnectCallback)(...result)
         })
       },
@@ -78,29 +101,43 @@
       maxHeaderSize: MAX_HEAD_BYTES
     })
     all.add(client)
-    return { client, end: () => end, onEnding: (listener) => { tellEnding = listener } }
+    return { client, end: () => end, onEnding: (listener) => { tellEnding = listener }, requestIds, bytesRead: () => socket?.bytesRead ?? 0 }
   }
 
-  function takeIdle (): Connection | undefined {
-    for (let connection = idle.pop(); connection !== undefined; connection = idle.pop()) {
-      if (connection.client.stats.connected) return connection
+  function takeIdle (requestId: string): Connection | undefined {
+    for (let index = idle.length - 1; index >= 0; index--) {
+      const { bytesRead, connection } = idle[index] as IdleConnection
+      if (connection.requestIds?.has(requestId) === true) continue
+      idle.splice(index, 1)
+      if (connection.client.stats.connected && connection.bytesRead() === bytesRead) return connection
       drop(connection)
     }
     return undefined
   }
 
+  function take (requestId?: string): Connection {
+    if (requestId === undefined) return open()
+    const connection = takeIdle(requestId) ?? open(new Set())
+    connection.requestIds?.add(requestId)
+    return connection
+  }
+
+  function mayBeUsedAgain ({ client, requestIds }: Connection): boolean {
+    return requestIds !== undefined && requestIds.size < MOST_REQUESTS && !client.destroyed && client.stats.connected
+  }
+
   function drop ({ client }: Connection): void {
     all.delete(client)
     client.destroy().catch(ignoreError)
   }
 
   return {
-    take: () => takeIdle() ?? open(),
+    take,
     giveBack: (connection) => {
-      if (connection.client.destroyed || !connection.client.stats.connected) drop(connection)
-      else idle.push(connection)
+      if (mayBeUsedAgain(connection)) idle.push({ connection, bytesRead: connection.bytesRead() })
+      else drop(connection)
     },
-    closeIdle: () => { for (const connection of idle.splice(0)) drop(connection) },
+    closeIdle: () => { for (const { connection } of idle.splice(0)) drop(connection) },
     destroy: () => {
       for (const client of all) client.destroy().catch(ignoreError)
       all.clear()
--- a/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
@@ -8,14 +8,7 @@
 import type { HoldOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
 import type { ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
-import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
-import type { ReplicaCallListener } from './BendfallEdgeReplicaCall.js'
-
-/** Longest answer that is read. */
-const ANSWER_BYTES = 4_096
-
-// A hold that is not given back lapses soon.
-const IGNORE_ANSWER: ReplicaCallListener = { onHead: () => {}, onChunk: () => {}, onEnd: () => {}, onFail: () => {} }
+import { startIgnoredCall, startOwnCall } from './BendfallEdgeOwnCall.js'
 
 /** What holds need. */
 export interface HoldOptions {
@@ -35,35 +28,14 @@
   const { dialect, loop, poolOf } = options
 
   function take (effect: RouterEffectOf<'take_hold'>): void {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    let status = 0
-    let isOver = false
-    const call = startReplicaCall(poolOf(effect.address), dialect.takeHold(effect), {
-      onHead: (answered) => { status = answered },
-      onChunk: (chunk) => {
-        bytes += chunk.length
-        if (bytes <= ANSWER_BYTES) chunks.push(chunk)
-      },
-      onEnd: () => finish(dialect.readHoldAnswer(status, Buffer.concat(chunks))),
-      onFail: () => finish({ type: 'unanswered' })
-    })
-    const cancel = loop.clock.callAt(loop.clock.nowMs() + effect.timeoutMs, () => {
-      call.abort()
-      finish({ type: 'unanswered' })
-    })
-    function finish (outcome: HoldOutcome): void {
-      if (isOver) return
-      isOver = true
-      cancel()
+    startOwnCall(poolOf(effect.address), dialect.takeHold(effect), { clock: loop.clock, timeoutMs: effect.timeoutMs }, (answer) => {
+      const outcome: HoldOutcome = answer.type === 'answered' ? dialect.readHoldAnswer(answer.status, answer.body) : { type: 'unanswered' }
       loop.dispatch({ type: 'hold_answered', key: effect.key, attempt: effect.attempt, outcome })
-    }
+    })
   }
 
   return combineTeardowns([
     loop.registerEffect('take_hold', take),
-    loop.registerEffect('drop_hold', ({ address, holdId }) => {
-      startReplicaCall(poolOf(address), { ...dialect.dropHold(holdId), headers: [] }, IGNORE_ANSWER)
-    })
+    loop.registerEffect('drop_hold', ({ address, holdId }) => startIgnoredCall(poolOf(address), dialect.dropHold(holdId), loop.clock))
   ])
 }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -17,6 +17,8 @@
   /** Names and values by turns. */
   readonly headers: readonly string[]
   readonly body?: Buffer
+  /** Id that the answer echoes; a call without one has a connection of its own. */
+  readonly requestId?: string
 }
 
 /** What tells the end of an answer's body (RFC 9112, section 6.3). */
@@ -55,7 +57,7 @@
  * @returns the call
  */
 export function startReplicaCall (pool: ConnectionPool, request: ReplicaCallRequest, listener: ReplicaCallListener): ReplicaCall {
-  const connection = pool.take()
+  const connection = pool.take(request.requestId)
   let controller: Dispatcher.DispatchController | undefined
   let isOver = false
   let isEnding = false
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -10,16 +10,18 @@
 import type { RouterEffect, RouterEffectOf, RouterEvent, SendFailure } from 'bendfall-router'
 import type { AnswerHead, RawHeaders, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { Exchange, HeldAnswer } from '../caller/BendfallEdgeExchange.js'
+import { startIdentifiedCall } from './BendfallEdgeAnswerIdentity.js'
+import type { IdentifiedListener } from './BendfallEdgeAnswerIdentity.js'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { createEventSplitter } from './BendfallEdgeEventSplitter.js'
-import type { AnswerFraming, ReplicaCall, ReplicaCallListener } from './BendfallEdgeReplicaCall.js'
-import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
+import { startIgnoredCall } from './BendfallEdgeOwnCall.js'
+import type { AnswerFraming, ReplicaCall } from './BendfallEdgeReplicaCall.js'
 
 /** Answers up to this size are held whole before the caller gets them, so that a broken one can be repeated. */
 const HELD_ANSWER_BYTES = 262_144
 
-/** Answers of the calls that the router makes for itself. */
-const OWN_ANSWER_BYTES = 65_536
+/** Longest answer of a prefill that is read. */
+const PREFILL_ANSWER_BYTES = 65_536
 
 type Loop = UpdateLoop<RouterEvent, RouterEffect>
 type SendRun = RouterEffectOf<'send_run'>
@@ -70,14 +72,15 @@
     send?.call.abort()
   }
 
-  function start (key: string, attempt: number, address: string, headers: RawHeaders, tryTimeoutMs: number | undefined, listener: ReplicaCallListener): void {
+  function start (key: string, attempt: number, address: string, headers: RawHeaders, tryTimeoutMs: number | undefined, listener: IdentifiedListener): void {
     const exchange = exchanges.get(key)
     if (exchange === undefined) return
     abort(key)
     const { method = 'GET', url = '/' } = exchange.request
-    const request = { method, path: url, headers: [...exchange.caller.forwardHeaders, ...headers], body: exchange.body }
+    const { forwardHeaders, requestId } = exchange.caller
+    const request = { method, path: url, headers: [...forwardHeaders, ...headers], body: exchange.body, requestId }
     const cancelTimeout = scheduleTimeout(loop.clock, tryTimeoutMs, () => loop.dispatch({ type: 'try_timed_out', key, attempt }))
-    const call = startReplicaCall(poolOf(address), request, listener)
+    const call = startIdentifiedCall(options, poolOf(address), request, listener)
     sends.set(key, { call, cancelTimeout, fail: () => listener.onFail(new Error('the process of the replica ended'), true) })
   }
 
@@ -89,7 +92,7 @@
 
   function sendPrefill (effect: RouterEffectOf<'send_prefill'>): void {
     const { attempt, key } = effect
-    const listener = createOwnListener(dialect, (result) => {
+    const listener = createPrefillListener(dialect, (result) => {
       sends.get(key)?.cancelTimeout()
       loop.dispatch({ type: 'prefill_answered', key, attempt, outcome: result })
     })
@@ -111,10 +114,7 @@
       if (held === undefined) exchanges.get(key)?.end()
       else exchanges.get(key)?.deliver(held)
     }),
-    loop.registerEffect('free_handle', ({ address, handle }) => {
-      const call = dialect.freeHandle(handle)
-      startReplicaCall(poolOf(address), { ...call, headers: [] }, IGNORE_ANSWER)
-    }),
+    loop.registerEffect('free_handle', ({ address, handle }) => startIgnoredCall(poolOf(address), dialect.freeHandle(handle), loop.clock)),
     loop.registerEffect('forget', ({ key }) => {
       sends.get(key)?.cancelTimeout()
       sends.delete(key)
@@ -122,16 +122,13 @@
   ])
 }
 
-// The answer decides nothing: a handle that is not freed lapses soon.
-const IGNORE_ANSWER: ReplicaCallListener = { onHead: () => {}, onChunk: () => {}, onEnd: () => {}, onFail: () => {} }
-
 function scheduleTimeout (clock: Clock, inMs: number | undefined, callback: () => void): Teardown {
   return inMs === undefined ? () => {} : clock.callAt(clock.nowMs() + inMs, callback)
 }
 
-function createRunListener (options: SendOptions, effect: SendRun, exchange: Exchange, sends: Map<string, Send>): ReplicaCallListener {
+function createRunListener (options: SendOptions, effect: SendRun, exchange: Exchange, sends: Map<string, Send>): IdentifiedListener {
   const { attempt, key } = effect
-  const { dialect, loop } = options
+  const { loop } = options
   const splitter = createEventSplitter()
   const chunks: Buffer[] = []
   let heldBytes = 0
@@ -155,9 +152,9 @@
   }
 
   function judge (head: AnswerHead): void {
-    const garbled = describeGarbled(status, head, exchange.caller.requestId)
     if (head.isWrongReplica) return fail('wrong_replica')
     if (head.isNotRun) return fail('not_run')
+    const garbled = describeUnvouched(status, head)
     if (garbled === undefined) return
     options.onGarbled(exchange.caller.requestId, garbled)
     fail('unknown')
@@ -217,10 +214,10 @@
   }
 
   return {
-    onHead: (answeredStatus, answeredHeaders) => {
+    onHead: (answeredStatus, answeredHeaders, head) => {
       status = answeredStatus
       headers = answeredHeaders
-      judge(dialect.readAnswerHead(status, headers))
+      judge(head)
       // Its body would be written into the stream that it was to go on with.
       if (hasBegun() && !isEventStream()) fail('unknown')
     },
@@ -253,10 +250,8 @@
   return length === undefined ? headers : { ...headers, 'transfer-encoding': 'chunked' }
 }
 
-// Another request's answer, or one that no replica vouches for, must not reach the caller.
-function describeGarbled (status: number, head: AnswerHead, requestId: string): string | undefined {
-  if (head.requestId !== undefined && head.requestId !== requestId) return `answer to another request: ${head.requestId}`
-  if (status < 300 && head.requestId === undefined) return 'answer without a request id'
+// An answer that no replica vouches for must not reach the caller.
+function describeUnvouched (status: number, head: AnswerHead): string | undefined {
   if (status < 300 && !head.isSigned) return 'answer without a signature'
   // These statuses promise that the request has not run, which only the replica can know.
   if (status === 408 || status === 429 || status === 503) return `status ${status} that does not say whether the request ran`
@@ -265,19 +260,19 @@
 
 type PrefillResult = RouterEvent extends infer E ? E extends { readonly type: 'prefill_answered', readonly outcome: infer O } ? O : never : never
 
-function createOwnListener (dialect: ReplicaDialect, onResult: (result: PrefillResult) => void): ReplicaCallListener {
+function createPrefillListener (dialect: ReplicaDialect, onResult: (result: PrefillResult) => void): IdentifiedListener {
   const chunks: Buffer[] = []
   let bytes = 0
   let status = 0
   let head: AnswerHead | undefined
   return {
-    onHead: (answered, headers) => {
+    onHead: (answered, _, answeredHead) => {
       status = answered
-      head = dialect.readAnswerHead(answered, headers)
+      head = answeredHead
     },
     onChunk: (chunk) => {
       bytes += chunk.length
-      if (bytes <= OWN_ANSWER_BYTES) chunks.push(chunk)
+      if (bytes <= PREFILL_ANSWER_BYTES) chunks.push(chunk)
     },
     onEnd: () => {
       if (status === 200) {
