Take no second report for a new one

Cause: reports bear no id and follow each other on one connection. A second answer to an earlier question counted as the state at the time of the last one: it could confirm memory that was taken by then, and ended bookings whose runs it does not show.

Evidence: the case of OwnCalls on reports failed, the report was 37 ms older than its question; it passes now, 9 of 9.

--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
@@ -9,9 +9,8 @@
 import { incarnationOf } from 'bendfall-router'
 import type { LedgerEffect, LedgerEvent, LedgerState } from 'bendfall-router'
 import type { EngineReport, ReplicaDialect } from '../BendfallEdgeDialect.js'
-import { createConnectionPool } from '../replica/BendfallEdgeConnections.js'
-import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
-import { startReplicaCall } from '../replica/BendfallEdgeReplicaCall.js'
+import { createReportCalls } from './BendfallEdgeReportCalls.js'
+import type { ReadReport } from './BendfallEdgeReportCalls.js'
 
 /** Between two reports while requests wait for memory: as long as a dozen steps, in which one of them may end. */
 const WAITING_PERIOD_MS = 50
@@ -25,15 +24,9 @@
 /** Between two reports of an idle replica. */
 const IDLE_PERIOD_MS = 300
 
-/** A report later than this is a failure. */
-const REPORT_TIMEOUT_MS = 400
-
 /** Reports that fail in a row before the replica counts as unhealthy. */
 const FAILURES_TO_UNHEALTHY = 2
 
-/** Longest body of a report. */
-const REPORT_BYTES = 262_144
-
 /** What following needs. */
 export interface ReportsOptions {
   /** `ip:port` of the replica. */
@@ -61,7 +54,7 @@
  */
 export function followReports (options: ReportsOptions): Reports {
   const { clock, dialect, logger, loop, replicaAddress, state } = options
-  const pool = createConnectionPool(replicaAddress, () => {})
+  const calls = createReportCalls(replicaAddress, dialect, clock)
   const ended = new AbortController()
   const wanted = createSignal(clock)
   let failures = 0
@@ -83,9 +76,13 @@
   async function follow (): Promise<void> {
     while (!ended.signal.aborted) {
       const askedAtMs = clock.nowMs()
-      const report = await readReport(pool, dialect, clock)
-      if (report === undefined) noteFailure()
-      else noteReport(report, askedAtMs)
+      const read = await calls.read()
+      if (read !== undefined && mayMislead(state(), read)) {
+        calls.renew()
+        continue
+      }
+      if (read === undefined) noteFailure()
+      else noteReport(read.report, askedAtMs)
       await wanted.wait(periodOf(state(), askedAtMs), ended.signal)
     }
   }
@@ -95,11 +92,19 @@
     wanted: () => wanted.notify(),
     close: () => {
       ended.abort()
-      pool.destroy()
+      calls.close()
     }
   }
 }
 
+// Reports of a replica that works differ from one to the next. One that came before may be a
+// second answer: it would confirm memory that is taken by now, or end runs that have begun.
+function mayMislead (state: LedgerState, { isRepeat, report }: ReadReport): boolean {
+  if (!isRepeat) return false
+  const isConfirming = [...state.bookings.values()].some(({ confirm }) => confirm !== undefined)
+  return isConfirming || report.active > 0 || state.lastRuns.size > 0
+}
+
 // A confirmation that came while the report was on its way needs another one at once.
 function periodOf (state: LedgerState, reportAskedAtMs: number): number {
   const confirms = [...state.bookings.values()].flatMap(({ confirm }) => confirm ?? [])
@@ -112,28 +117,3 @@
 function isBusy (state: LedgerState): boolean {
   return state.bookings.size + state.waiting.length + state.lastRuns.size > 0 || (state.report?.active ?? 0) > 0
 }
-
-function readReport (pool: ConnectionPool, dialect: ReplicaDialect, clock: Clock): Promise<EngineReport | undefined> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    let status = 0
-    const call = startReplicaCall(pool, { ...dialect.report, headers: [] }, {
-      onHead: (answered) => { status = answered },
-      onChunk: (chunk) => {
-        bytes += chunk.length
-        if (bytes <= REPORT_BYTES) chunks.push(chunk)
-      },
-      onEnd: () => finish(status === 200 ? dialect.readReport(Buffer.concat(chunks)).unwrapOr(undefined) : undefined),
-      onFail: () => finish(undefined)
-    })
-    const cancel: Teardown = clock.callAt(clock.nowMs() + REPORT_TIMEOUT_MS, () => {
-      call.abort()
-      finish(undefined)
-    })
-    function finish (report: EngineReport | undefined): void {
-      cancel()
-      resolve(report)
-    }
-  })
-}
