Keep one reading of how connections and answers end

The sockets to replicas and the HTTP adapters each asked the kernel for the peer and read the framing of answers by themselves. Both now stand once, in bendfall-platform.

--- a/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
@@ -5,9 +5,10 @@
  * @module
  */
 import type { Socket } from 'node:net'
+import type { ConnectionEnd } from 'bendfall-platform'
 import { Client } from 'undici'
 import { connectReplica } from './BendfallEdgeReplicaSocket.js'
-import type { ConnectCallback, ConnectionEnd } from './BendfallEdgeReplicaSocket.js'
+import type { ConnectCallback } from './BendfallEdgeReplicaSocket.js'
 
 /** Idle time after which a connection is closed when the replica does not tell its own. */
 const IDLE_CLOSE_MS = 8_000
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -5,6 +5,8 @@
  * @module
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import { framingOf } from 'bendfall-platform'
+import type { AnswerFraming } from 'bendfall-platform'
 import type { Dispatcher } from 'undici'
 import type { Connection, ConnectionPool } from './BendfallEdgeConnections.js'
 import { ConnectionResetError } from './BendfallEdgeReplicaSocket.js'
@@ -21,9 +23,6 @@
   readonly requestId?: string
 }
 
-/** What tells the end of an answer's body (RFC 9112, section 6.3). */
-export type AnswerFraming = 'length' | 'chunked' | 'connection'
-
 /** Takes what comes of a call; after `onEnd` or `onFail` nothing more comes. */
 export interface ReplicaCallListener {
   readonly onHead: (status: number, headers: IncomingHttpHeaders) => void
@@ -45,9 +44,6 @@
 
 const FIRST_FINAL_STATUS = 200
 
-/** Answers that end with their head. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
-
 /**
  * Starts a call.
  *
@@ -115,12 +111,6 @@
   }
 }
 
-function framingOf (method: string, status: number, headers: IncomingHttpHeaders): AnswerFraming {
-  if (headers['transfer-encoding'] !== undefined) return 'chunked'
-  const hasLength = headers['content-length'] !== undefined || method === 'HEAD' || BODILESS_STATUSES.has(status)
-  return hasLength ? 'length' : 'connection'
-}
-
 function dispatch ({ client }: Connection, request: ReplicaCallRequest, handler: Dispatcher.DispatchHandler): void {
   client.dispatch({
     method: request.method as Dispatcher.HttpMethod,
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
@@ -10,6 +10,8 @@
 import { Socket } from 'node:net'
 import type { SocketConstructorOpts } from 'node:net'
 import type { DuplexOptions } from 'node:stream'
+import { connectionEndOf } from 'bendfall-platform'
+import type { ConnectionEnd } from 'bendfall-platform'
 
 /** Longest time to open a connection; a first packet that is lost is sent again only after a second. */
 export const CONNECT_TIMEOUT_MS = 400
@@ -30,9 +32,6 @@
   override readonly name = 'ConnectTimeoutError'
 }
 
-/** How the data of a connection ended. */
-export type ConnectionEnd = 'orderly' | 'reset'
-
 /** What a connection needs. */
 export interface ReplicaSocketOptions {
   readonly host: string
@@ -73,7 +72,7 @@
   }
   socket.setNoDelay(true)
   socket.setKeepAlive(true, PROBE_AFTER_MS)
-  socket.once('end', () => onEnd(endOf(socket)))
+  socket.once('end', () => onEnd(connectionEndOf(socket)))
   socket.once('error', onFailed)
   socket.connect({ host, port }, () => {
     clearTimeout(timer)
@@ -81,13 +80,3 @@
     callback(null, socket)
   })
 }
-
-// A reset that is found by the same poll as the last bytes comes as the end of the data,
-// without an error. The kernel knows: a connection that was reset has no peer any more
-// (getpeername: ENOTCONN), one that was closed in order still has it. Without this look
-// 8 of 500 answers without a length that were reset behind their last bytes counted as
-// whole on an idle loop, 252 of 500 on one that was busy for 9 of 10 ms. The name of the
-// peer is kept by the socket once it was read, so nobody may read it before.
-function endOf (socket: Socket): ConnectionEnd {
-  return socket.remoteAddress === undefined ? 'reset' : 'orderly'
-}
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Clock, Teardown, UpdateLoop } from 'bendfall-node'
 import { combineTeardowns } from 'bendfall-node'
+import type { AnswerFraming } from 'bendfall-platform'
 import type { RouterEffect, RouterEffectOf, RouterEvent, SendFailure } from 'bendfall-router'
 import type { AnswerHead, RawHeaders, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { Exchange, HeldAnswer } from '../caller/BendfallEdgeExchange.js'
@@ -15,7 +16,7 @@
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { createEventSplitter } from './BendfallEdgeEventSplitter.js'
 import { startIgnoredCall } from './BendfallEdgeOwnCall.js'
-import type { AnswerFraming, ReplicaCall } from './BendfallEdgeReplicaCall.js'
+import type { ReplicaCall } from './BendfallEdgeReplicaCall.js'
 
 /** Answers up to this size are held whole before the caller gets them, so that a broken one can be repeated. */
 const HELD_ANSWER_BYTES = 262_144
--- a/packages/bendfall-platform/src/BendfallPlatformHttp.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttp.ts
@@ -8,8 +8,8 @@
 import type { Result } from 'ts-results-es'
 import { Agent } from 'undici'
 import type { Dispatcher } from 'undici'
-import { createConnectionEnds, tellsItsEnd } from './BendfallPlatformHttpEnds.js'
-import type { ConnectionEnds } from './BendfallPlatformHttpEnds.js'
+import { createConnectionEnds, framingOf } from './BendfallPlatformHttpEnds.js'
+import type { AnswerFraming, ConnectionEnds } from './BendfallPlatformHttpEnds.js'
 import { createAnswerReader, createLineReader } from './BendfallPlatformHttpReaders.js'
 import type { AnswerReader } from './BendfallPlatformHttpReaders.js'
 import { createSentRequestIds } from './BendfallPlatformHttpRequestIds.js'
@@ -167,7 +167,7 @@
 // Straight on the dispatcher: a stream and its async iterator cost several
 // times as much as all the rest when each chunk carries one token.
 function readOnce ({ agent, attempt, ends, reader, sentIds }: Reading, { requestId }: HttpRequest, options: Dispatcher.DispatchOptions): Promise<void> {
-  let isEndTold = false
+  let framing: AnswerFraming = 'connection'
   return new Promise((resolve, reject) => {
     const dispatch = createSendOnce(attempt.state)((...args) => agent.dispatch(...args))
     dispatch(options, {
@@ -182,7 +182,7 @@
           controller.abort(new Error('the answer is that of another request'))
           return
         }
-        isEndTold = tellsItsEnd(options.method, status, headerOf)
+        framing = framingOf(options.method, status, headers)
         reader.onHead(status, headerOf)
       },
       onResponseData: (controller, chunk) => {
@@ -195,7 +195,7 @@
         }
       },
       onResponseEnd: () => {
-        if (isEndTold || ends.isInOrder()) resolve()
+        if (framing !== 'connection' || ends.isInOrder()) resolve()
         else reject(new Error('the connection was reset before the end of the answer'))
       },
       onResponseError: (_, error) => reject(error)
--- a/packages/bendfall-platform/src/index.ts
+++ b/packages/bendfall-platform/src/index.ts
@@ -7,6 +7,8 @@
 export type { FieldCheck, Shape, ShapesByType } from './BendfallPlatformAnswer.js'
 export { createHttpExchanger } from './BendfallPlatformHttp.js'
 export type { HttpAnswer, HttpExchanger, HttpFailure, HttpOptions, HttpRequest } from './BendfallPlatformHttp.js'
+export { connectionEndOf, framingOf } from './BendfallPlatformHttpEnds.js'
+export type { AnswerFraming, ConnectionEnd } from './BendfallPlatformHttpEnds.js'
 export { createHttpInstanceList } from './BendfallPlatformHttpInstances.js'
 export type { HttpInstanceListOptions } from './BendfallPlatformHttpInstances.js'
 export { createHttpKeyValue } from './BendfallPlatformHttpKeyValue.js'
