--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersResumedEnd.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersResumedEnd.test.ts
@@ -53,4 +53,18 @@
   })
 }
 
+test('a stream in chunks that goes on at a replica whose answer only its connection ends does not look complete', async () => {
+  let runs = 0
+  const scriptOf = ({ asked }: { readonly asked: string }): object => {
+    if (asked !== 'run') return {}
+    runs += 1
+    return runs === 1 ? { framing: 'chunked', cut: BREAK_WITHIN } : { framing: 'connection' }
+  }
+  await onAnswersStage({ scriptOf }, async ({ call }) => {
+    const { end } = await call('brief', 'vouched')
+    assert.is(runs, 2)
+    assert.is(end, 'broken')
+  })
+})
+
 test.run()
