Take the requests of a caller's connection one at a time

Cause: the server answers for itself what it cannot read behind a request (408 for part of a head that stays away, 400 for no head) and closes the connection, whatever is under way on it. A call that ran was so answered 408, which promises that it had not run; half a stream without a length was closed in order and looked complete, as when its caller closed its side. Requests that shared a connection were passed on at once, though the first answer that ends the connection leaves the others without theirs.

Requests on a connection now have turns: the next one begins when the answer before it is out, its time budget less by its wait, and never behind an answer that ends the connection. What cannot be read is refused in its turn. While the process stops, a connection is closed after the last request that waits on it.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -184,7 +184,7 @@
 
 function takeRequest (loop: UpdateLoop<RouterEvent, RouterEffect>, exchanges: Map<string, Exchange>, open: OpenExchanges, whole: WholeRequest, key: string, isStopping: () => boolean): void {
   const { caller, request } = whole
-  const exchange = createExchange({ key, ...whole }, isStopping)
+  const exchange = createExchange({ key, ...whole }, () => isStopping() && !whole.hasNext())
   exchanges.set(key, exchange)
   open.add(exchange, () => loop.dispatch({ type: 'caller_left', key }))
   loop.dispatch({
--- a/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { CallerLimits } from 'bendfall-router'
 import type { CallerDialect, CallerRequest } from '../BendfallEdgeDialect.js'
+import { registerCallerTurns } from './BendfallEdgeCallerTurns.js'
 import { refuse } from './BendfallEdgeExchange.js'
 
 /** A whole request of a caller. */
@@ -16,6 +17,8 @@
   readonly response: ServerResponse
   readonly caller: CallerRequest
   readonly body: Buffer
+  /** @returns whether other requests wait for the end of this one's answer */
+  readonly hasNext: () => boolean
 }
 
 /** What the server needs. */
@@ -55,7 +58,14 @@
  * @returns the server
  */
 export function createCallerServer (options: CallerServerOptions): CallerServer {
-  const server = createServer({ maxHeaderSize: PARSED_HEAD_BYTES, connectionsCheckingInterval: 1_000 }, (request, response) => take(options, request, response))
+  const server = createServer({ maxHeaderSize: PARSED_HEAD_BYTES, connectionsCheckingInterval: 1_000 })
+  const turns = registerCallerTurns(server)
+  server.on('request', (request, response) => {
+    const arrivedMs = performance.now()
+    request.on('error', ignoreError)
+    response.on('error', ignoreError)
+    turns.take(request, response, () => take(options, request, response, performance.now() - arrivedMs, () => turns.hasNext(request)))
+  })
 
   function applyLimits (): void {
     const limits = options.limits()
@@ -68,25 +78,28 @@
   return { server, applyLimits }
 }
 
-function take (options: CallerServerOptions, request: IncomingMessage, response: ServerResponse): void {
+function take (options: CallerServerOptions, request: IncomingMessage, response: ServerResponse, waitedMs: number, hasNext: () => boolean): void {
   const reject = (status: number, message: string, requestId?: string): void => {
     options.onRejected(status, message, requestId)
     refuse(response, status, message, true, requestId)
   }
-  request.on('error', ignoreError)
-  response.on('error', ignoreError)
   const limits = options.limits()
   if (headBytes(request) > limits.headerBytes) return reject(431, 'request head too large')
   const read = options.dialect.readRequest(request.rawHeaders)
   if (read.isErr()) return reject(read.error.status, read.error.message)
-  const caller = read.value
+  const caller = withoutWait(read.value, waitedMs)
   if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return reject(413, 'request body too large', caller.requestId)
   readBody(request, limits.bodyBytes, (body) => {
     if (body === undefined) reject(413, 'request body too large', caller.requestId)
-    else options.onRequest({ request, response, caller, body })
+    else options.onRequest({ request, response, caller, body, hasNext })
   })
 }
 
+// The caller counts from when it sent the request, not from when its turn came.
+function withoutWait (caller: CallerRequest, waitedMs: number): CallerRequest {
+  return caller.deadlineMs === undefined ? caller : { ...caller, deadlineMs: caller.deadlineMs - waitedMs }
+}
+
 function readBody (request: IncomingMessage, maxBytes: number, onBody: (body: Buffer | undefined) => void): void {
   const chunks: Buffer[] = []
   let bytes = 0
