--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeExchange.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeExchange.test.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import { connect } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createExchange } from '../../caller/BendfallEdgeExchange.js'
@@ -12,6 +12,9 @@
 /** An answer after which the connection stays open is over when nothing more came for this long. */
 const QUIET_MS = 1_000
 
+/** Timers may be early by up to a millisecond. */
+const LEAST_PAUSE_MS = 9
+
 /** What a caller reads from its connection, and whether that was reset. */
 async function readAnswer (answer: (exchange: Exchange) => void, version = '1.1'): Promise<{ readonly text: string, readonly isReset: boolean }> {
   const server = createServer((request, response) => {
@@ -30,6 +33,8 @@
       idle = setTimeout(() => socket.destroy(), QUIET_MS)
     })
     socket.on('error', () => { isReset = true })
+    // A reset that is found together with the last bytes comes as an end; such a socket has no peer any more.
+    socket.on('end', () => { isReset ||= socket.remoteAddress === undefined })
     socket.on('close', () => {
       clearTimeout(idle)
       resolve()
@@ -63,6 +68,43 @@
   assert.is(isReset, true)
 })
 
+// Callers that found the last bytes and the reset together took what they had for the whole
+// answer: 61 of 500 whose runtime reports the hang-up as the end of the data, none of 500
+// when the reset came 10 ms after the last bytes.
+test('the reset of an answer without a length follows its last bytes after a pause, in which nothing else is sent', async () => {
+  let pauseMs = 0
+  const { isReset, text } = await readAnswer((exchange) => {
+    const socket = exchange.response.socket as Socket
+    const reset = socket.resetAndDestroy.bind(socket)
+    exchange.start(200, {})
+    exchange.write(Buffer.from('part'), () => {})
+    const cutAtMs = performance.now()
+    socket.resetAndDestroy = () => {
+      pauseMs = performance.now() - cutAtMs
+      return reset()
+    }
+    exchange.cut()
+    exchange.write(Buffer.from('more'), () => {})
+    exchange.end()
+  })
+  assert.ok(pauseMs > LEAST_PAUSE_MS, `${pauseMs} ms`)
+  assert.ok(text.endsWith('\r\n\r\npart'))
+  assert.is(isReset, true)
+})
+
+test('an answer that is cut at the end of the process is reset at once', async () => {
+  let isAtOnce = false
+  await readAnswer((exchange) => {
+    const { response } = exchange
+    exchange.start(200, {})
+    exchange.write(Buffer.from('part'), () => {})
+    exchange.cut()
+    exchange.cutNow()
+    isAtOnce = response.destroyed && response.socket?.destroyed === true
+  })
+  assert.is(isAtOnce, true)
+})
+
 // A caller of HTTP/1.0 got part of an answer and took it for the whole one: the replica
 // sent chunks, which such a caller does not know, so that only the connection told the end,
 // and the entry, which looked at the framing of the replica's answer, closed it in order.
--- a/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
@@ -35,8 +35,10 @@
   readonly end: () => void
   /** Answers in the router's own name; an answer that has begun is cut. */
   readonly refuse: (status: number, reason: string, retryAfterMs?: number) => void
-  /** Ends the connection at once, so that the answer does not look complete. */
+  /** Ends the connection, so that the answer does not look complete. Nothing more is sent. */
   readonly cut: () => void
+  /** Does so before it returns; for the end of the process. */
+  readonly cutNow: () => void
 }
 
 const MS_PER_SECOND = 1_000
@@ -93,7 +95,8 @@
       if (response.headersSent) cut()
       else refuse(response, status, reason, isStopping(), caller.requestId, retryAfterMs)
     },
-    cut
+    cut,
+    cutNow: cut
   }
 }
 
