Vouch for no end that nobody told: a resumed stream with an unframed rest

Cause: a stream that began in chunks went on at a replica whose answer only its connection ended; the entry then wrote the last chunk, which vouches for the end. Change: such a rest counts as broken off: it is resumed where tries are left, else cut.

--- a/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
@@ -31,6 +31,8 @@
   readonly start: (status: number, headers: IncomingHttpHeaders) => void
   /** @returns false when the caller reads slower than the replica writes */
   readonly write: (chunk: Buffer, onDrain: () => void) => boolean
+  /** @returns whether the caller learns the end of the answer that has begun from its connection only */
+  readonly endsWithConnection: () => boolean
   /** Ends an answer that has begun; one that has not is cut. */
   readonly end: () => void
   /** Answers in the router's own name; an answer that has begun is cut. */
@@ -87,6 +89,7 @@
       response.once('drain', onDrain)
       return false
     },
+    endsWithConnection: () => endsWithConnection,
     end: () => {
       if (response.headersSent) response.end()
       else cut()
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -187,9 +187,11 @@
 
   // Whether a stream that only its connection ended was broken off. An orderly end of a
   // connection vouches for nothing: the kernel closes so what a replica that dies has open.
-  // Behind a whole event nobody can tell; within one, or before the first, it is no answer.
+  // Behind a whole event nobody can tell; within one, or before the first, it is no answer,
+  // and a last chunk of ours would vouch for it.
   function isBrokenOff (framing: AnswerFraming): boolean {
     if (!isEventStream() || framing !== 'connection') return false
+    if (hasBegun() && !exchange.endsWithConnection()) return true
     return splitter.isWithinEvent() || (outputEvents === 0 && effect.lastEventId === undefined)
   }
 
