--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeAnswerIdentity.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeAnswerIdentity.test.ts
@@ -190,4 +190,15 @@
   })
 })
 
+test('a connection carries no more requests than it remembers', async () => {
+  await beforeReplica((request) => request.socket.write(ownAnswer(request)), async ({ prefill, replica }) => {
+    for (let i = 0; i < 300; i++) {
+      await prefill(`r${i}`)
+      await new Promise(setImmediate)
+    }
+    assert.ok(replica.connections() >= 2)
+    for (let i = 1; i <= replica.connections(); i++) assert.ok(replica.requests.filter(({ connection }) => connection === i).length <= 256)
+  })
+})
+
 test.run()
--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeOwnCalls.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeOwnCalls.test.ts
@@ -114,11 +114,11 @@
 }
 
 /** Follows a replica for half a dozen reports. */
-async function followReplica (answer: (request: ScriptedRequest) => string, confirms: readonly object[] = []): Promise<ReportScene> {
+async function followReplica (answer: (request: ScriptedRequest) => string, confirms: readonly object[] = [], isTwice = true): Promise<ReportScene> {
   const clock = createSystemClock()
   const arrivedAtMs = new Map<number, number>()
   const told: Array<ReportScene['told'][number]> = []
-  const send = withDoubles(answer)
+  const send = isTwice ? withDoubles(answer) : (request: ScriptedRequest): void => { request.socket.write(answer(request)) }
   const replica = await startScriptedReplica((request) => {
     arrivedAtMs.set(request.number, clock.nowMs())
     send(request)
@@ -148,4 +148,16 @@
   for (const { arrivedAfterMs, usedTokens } of told) assert.ok(arrivedAfterMs >= 0, `report ${usedTokens} is ${-arrivedAfterMs} ms older than its question`)
 })
 
+test('reports of an idle replica, which repeat, share a connection', async () => {
+  const { connections, told } = await followReplica(() => answerOf({ body: '0' }), [], false)
+  assert.ok(told.length >= 5)
+  assert.is(connections(), 1)
+})
+
+test('no report that came before confirms memory', async () => {
+  const { connections, told } = await followReplica(() => answerOf({ body: '0' }), [{ askedAtMs: 0, untilMs: Infinity }], false)
+  assert.ok(told.length >= 5)
+  assert.ok(connections() >= told.length)
+})
+
 test.run()
--- a/packages/bendfall-edge/src/__tests__/unit/ScriptedReplica.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/ScriptedReplica.ts
@@ -126,5 +126,5 @@
 }
 
 function reportOf (usedTokens: number): EngineReport {
-  return { stage: 'decode', usedTokens, capacityTokens: 20_000, queued: 0, active: 1, isSwitching: false, runs: [] }
+  return { stage: 'decode', usedTokens, capacityTokens: 20_000, queued: 0, active: usedTokens > 0 ? 1 : 0, isSwitching: false, runs: [] }
 }
