--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -25,7 +25,8 @@
 const USED_PARTS = {
   undici: `
     export { default as Agent } from 'undici/lib/dispatcher/agent.js'
-    export { default as Client } from 'undici/lib/dispatcher/client.js'`,
+    export { default as Client } from 'undici/lib/dispatcher/client.js'
+    export { default as buildConnector } from 'undici/lib/core/connect.js'`,
   'hdr-histogram-js': "export { build } from 'hdr-histogram-js/dist/HistogramBuilder.js'"
 }
 
