Fuzz transfer codings without chunks and status lines that are broken off

A transfer coding other than chunks ends with the connection too, and a second answer may be broken off within its status line. Neither was drawn.

--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersResumedEnd.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersResumedEnd.test.ts
@@ -10,11 +10,11 @@
 import type { ScriptCut, ScriptFraming } from '../../fleet/answers/BendfallFakesAnswersScript.js'
 import { onAnswersStage } from '../../fleet/answers/BendfallFakesAnswersStage.js'
 
-const BREAKS: Readonly<Record<ScriptFraming, ScriptCut>> = {
+const BREAKS = {
   chunked: { how: 'fin', at: 'last_byte', share: 0, afterMs: 0 },
   connection: { how: 'reset', at: 'end', share: 0, afterMs: 60 },
   length: { how: 'fin', at: 'last_byte', share: 0, afterMs: 0 }
-}
+} as const satisfies Partial<Record<ScriptFraming, ScriptCut>>
 
 const BREAK_WITHIN: ScriptCut = { how: 'fin', at: 'body', share: 0.5, afterMs: 0 }
 
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersEncode.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersEncode.ts
@@ -76,7 +76,8 @@
     ...(connection === 'none' ? [] : [`Connection: ${connection}`]),
     ...(connection === 'keep-alive' ? ['Keep-Alive: timeout=5'] : []),
     ...(framing === 'length' ? [`Content-Length: ${bodyBytes}`] : []),
-    ...(framing === 'chunked' ? ['Transfer-Encoding: chunked'] : [])
+    ...(framing === 'chunked' ? ['Transfer-Encoding: chunked'] : []),
+    ...(framing === 'identity' ? ['Transfer-Encoding: identity'] : [])
   ]
   return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\n`), NOTES[note], Buffer.from('\r\n')])
 }
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersJudge.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersJudge.ts
@@ -8,6 +8,7 @@
 import { ANSWER_NOTES, isRefusal } from './BendfallFakesAnswersEncode.js'
 import type { ReadAnswer } from './BendfallFakesAnswersResponses.js'
 import type { AnswersKind } from './BendfallFakesAnswersScene.js'
+import { hasOpenEnd } from './BendfallFakesAnswersScript.js'
 import type { AnswersTruth, Arrival } from './BendfallFakesAnswersTruth.js'
 import { digestOf } from './BendfallFakesAnswersTruth.js'
 
@@ -99,7 +100,7 @@
 }
 
 function nameCut (arrivals: readonly Arrival[]): ViolationClass {
-  if (arrivals.some(({ answer }) => answer.isReset && answer.framing === 'connection')) return 'reset_looks_complete'
+  if (arrivals.some(({ answer }) => answer.isReset && hasOpenEnd(answer.framing))) return 'reset_looks_complete'
   return arrivals.some(({ isStream }) => isStream) ? 'stream_tail_dropped' : 'cut_looks_complete'
 }
 
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersPlay.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersPlay.ts
@@ -7,10 +7,14 @@
 import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises'
 import type { EncodedAnswer } from './BendfallFakesAnswersEncode.js'
 import type { AnswerScript, ScriptCut, ScriptDouble } from './BendfallFakesAnswersScript.js'
+import { hasOpenEnd } from './BendfallFakesAnswersScript.js'
 
 /** Answers longer than this are not written byte by byte. */
 const LONGEST_BYTEWISE = 400
 
+/** `HTTP/1.1 200 ` */
+const STATUS_BYTES = 13
+
 const HINTS = Buffer.from('HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n')
 const GARBAGE = Buffer.from('what is this\r\n\r\n')
 
@@ -40,7 +44,7 @@
  * @returns whether it does
  */
 export function endsConnection (script: AnswerScript): boolean {
-  return script.cut !== undefined || script.framing === 'connection' || script.connection === 'close'
+  return script.cut !== undefined || hasOpenEnd(script.framing) || script.connection === 'close'
 }
 
 /**
@@ -52,6 +56,7 @@
  */
 export function doubleBytes ({ part }: ScriptDouble, answer: EncodedAnswer): Buffer {
   if (part === 'whole') return Buffer.concat([answer.head, answer.framed])
+  if (part === 'line_cut') return answer.head.subarray(0, STATUS_BYTES)
   if (part === 'head_cut') return answer.head.subarray(0, Math.ceil(answer.head.length / 2))
   return Buffer.concat([answer.head, answer.framed.subarray(0, Math.floor(answer.framed.length / 2))])
 }
@@ -75,7 +80,7 @@
 
 // Behind an answer that ends with its connection there is nothing: more bytes would be part of it.
 function hasDoubleBehind (script: AnswerScript): script is AnswerScript & { readonly double: ScriptDouble } {
-  return script.double?.when === 'same_segment' && script.cut === undefined && script.framing !== 'connection'
+  return script.double?.when === 'same_segment' && script.cut === undefined && !hasOpenEnd(script.framing)
 }
 
 function preludeOf ({ prelude }: AnswerScript): Buffer {
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersProfiles.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersProfiles.ts
@@ -6,7 +6,7 @@
  */
 import type { Random } from './BendfallFakesAnswersRandom.js'
 import type { AnswerScript, AskedFor, ScriptCut, ScriptDouble } from './BendfallFakesAnswersScript.js'
-import { SOUND_SCRIPT } from './BendfallFakesAnswersScript.js'
+import { hasOpenEnd, SOUND_SCRIPT } from './BendfallFakesAnswersScript.js'
 
 /** Kinds of faults that a seed plays most. */
 export const ANSWER_PROFILES = ['resets', 'doubles', 'framing', 'streams', 'slow', 'refusals', 'headers', 'own_calls', 'mixed'] as const
@@ -26,23 +26,25 @@
   readonly prelude: number
   readonly early: number
   readonly odd: number
+  /** Transfer codings without chunks. */
+  readonly coding: number
   /** Doubles and refusals of the calls that the entry makes for itself. */
   readonly ownDouble: number
   readonly ownRefusal: number
 }
 
-const NONE: Weights = { cut: 0, double: 0, refusal: 0.03, failure: 0.03, large: 0.02, huge: 0, note: 0, prelude: 0, early: 0, odd: 0, ownDouble: 0, ownRefusal: 0.03 }
+const NONE: Weights = { cut: 0, double: 0, refusal: 0.03, failure: 0.03, large: 0.02, huge: 0, note: 0, prelude: 0, early: 0, odd: 0, coding: 0, ownDouble: 0, ownRefusal: 0.03 }
 
 const WEIGHTS: Readonly<Record<AnswerProfile, Weights>> = {
   resets: { ...NONE, cut: 0.5, large: 0.05 },
   doubles: { ...NONE, double: 0.4, refusal: 0.1, failure: 0.1, ownDouble: 0.3 },
-  framing: { ...NONE, cut: 0.2, prelude: 0.1, early: 0.5 },
+  framing: { ...NONE, cut: 0.2, prelude: 0.1, early: 0.5, coding: 0.1 },
   streams: { ...NONE, cut: 0.2, odd: 0.7 },
   slow: { ...NONE, cut: 0.3, large: 0.4, huge: 0.3 },
   refusals: { ...NONE, double: 0.3, refusal: 0.4, failure: 0.15, ownDouble: 0.3, ownRefusal: 0.3 },
   headers: { ...NONE, note: 0.3, prelude: 0.1 },
   own_calls: { ...NONE, ownDouble: 0.5, ownRefusal: 0.3 },
-  mixed: { cut: 0.15, double: 0.15, refusal: 0.1, failure: 0.08, large: 0.1, huge: 0.1, note: 0.03, prelude: 0.04, early: 0.15, odd: 0.15, ownDouble: 0.15, ownRefusal: 0.1 }
+  mixed: { cut: 0.15, double: 0.15, refusal: 0.1, failure: 0.08, large: 0.1, huge: 0.1, note: 0.03, prelude: 0.04, early: 0.15, odd: 0.15, coding: 0.03, ownDouble: 0.15, ownRefusal: 0.1 }
 }
 
 const LARGE_BYTES = [300_000, 1_000_000] as const
@@ -86,12 +88,12 @@
  */
 export function drawScript (random: Random, profile: AnswerProfile, asked: AskedFor): AnswerScript {
   const weights = WEIGHTS[profile]
-  const framing = random.pick(['length', 'chunked', 'connection'] as const)
+  const framing = random.chance(weights.coding) ? 'identity' : random.pick(['length', 'chunked', 'connection'] as const)
   return {
     ...SOUND_SCRIPT,
     status: drawStatus(random, weights, asked),
     framing,
-    connection: framing === 'connection' ? random.pick(['close', 'none'] as const) : random.pick(['none', 'none', 'keep-alive', 'close'] as const),
+    connection: hasOpenEnd(framing) ? random.pick(['close', 'none'] as const) : random.pick(['none', 'none', 'keep-alive', 'close'] as const),
     prelude: random.chance(weights.prelude) ? random.pick(['hints', 'garbage'] as const) : 'none',
     note: random.chance(weights.note) ? random.pick(['ascii', 'latin1', 'utf8'] as const) : 'none',
     write: random.pick(['whole', 'whole', 'pieces', 'bytes'] as const),
@@ -127,7 +129,7 @@
 
 function drawDouble (random: Random): ScriptDouble {
   return {
-    part: random.pick(['whole', 'whole', 'whole', 'body_cut', 'head_cut'] as const),
+    part: random.pick(['whole', 'whole', 'whole', 'body_cut', 'head_cut', 'line_cut'] as const),
     when: random.pick(['late', 'late', 'with_next', 'same_segment'] as const),
     afterMs: random.pick([0, 1, random.whole(20), random.whole(LATEST_DOUBLE_MS)] as const)
   }
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersReplica.ts
@@ -13,7 +13,7 @@
 import { createRequestReader } from './BendfallFakesAnswersRequests.js'
 import type { RequestHead } from './BendfallFakesAnswersRequests.js'
 import type { AnswerScript, AskedFor } from './BendfallFakesAnswersScript.js'
-import { describeScript } from './BendfallFakesAnswersScript.js'
+import { describeScript, hasOpenEnd } from './BendfallFakesAnswersScript.js'
 import { digestOf } from './BendfallFakesAnswersTruth.js'
 import type { AnswersTruth, Arrival, SentAnswer } from './BendfallFakesAnswersTruth.js'
 
@@ -166,7 +166,7 @@
   const { cut, framing, status } = script
   const answer: SentAnswer = { status, framing, isReset: cut?.how === 'reset', body: digestOf(encoded.body) }
   // Only an answer without a length may end anywhere in order.
-  if (cut?.how !== 'fin' || framing !== 'connection') return answer
+  if (cut?.how !== 'fin' || !hasOpenEnd(framing)) return answer
   const bodyBytes = Math.max(0, cutPosition(cut, encoded) - encoded.head.length)
   return { ...answer, sentBody: digestOf(encoded.body.subarray(0, bodyBytes)) }
 }
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScript.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScript.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-/** What tells the end of an answer's body. */
-export type ScriptFraming = 'chunked' | 'connection' | 'length'
+/** What tells the end of an answer's body; `identity` is a transfer coding without chunks, which ends with the connection as well. */
+export type ScriptFraming = 'chunked' | 'connection' | 'identity' | 'length'
 
 /** What a request asks of a replica. */
 export type AskedFor = 'drop' | 'free' | 'hold' | 'prefill' | 'run'
@@ -24,7 +24,8 @@
 
 /** A second answer to the same request. */
 export interface ScriptDouble {
-  readonly part: 'body_cut' | 'head_cut' | 'whole'
+  /** `line_cut`: nothing behind the status. */
+  readonly part: 'body_cut' | 'head_cut' | 'line_cut' | 'whole'
   /** In the segment of the first, some time after it, or right before the next answer on the connection. */
   readonly when: 'late' | 'same_segment' | 'with_next'
   readonly afterMs: number
@@ -73,6 +74,16 @@
   workMs: 0
 }
 
+/**
+ * Tells whether the body of an answer ends with its connection.
+ *
+ * @param framing - of the answer
+ * @returns whether it does
+ */
+export function hasOpenEnd (framing: ScriptFraming): boolean {
+  return framing === 'connection' || framing === 'identity'
+}
+
 /**
  * Tells in a line how a script differs from a sound one.
  *
