Fuzz ends of idle connections and bodies of callers in chunks

A replica closes or resets a kept connection some time after an answer, which may meet the next request; callers send bodies with a length or in chunks.

--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersCaller.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersCaller.ts
@@ -5,6 +5,7 @@
  */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
+import { inChunks } from './BendfallFakesAnswersEncode.js'
 import { createResponseReader } from './BendfallFakesAnswersResponses.js'
 import type { ReadAnswer, ResponseReader } from './BendfallFakesAnswersResponses.js'
 
@@ -15,6 +16,8 @@
   readonly requestId: string
   readonly headers: Readonly<Record<string, string>>
   readonly body: Buffer
+  /** Whether the body goes out in chunks, as opposed to with a length. */
+  readonly isChunked: boolean
   /** Pause after each piece that is read; 0: none. */
   readonly readPauseMs: number
   /** Leaves after this time; absent: never. */
@@ -137,8 +140,9 @@
   return { call, unasked: () => unasked, close: () => socket?.destroy() }
 }
 
-function encodeCall ({ body, headers, method, path, requestId }: AnswersCall): Buffer {
-  const all = { ...headers, 'x-request-id': requestId, ...(method === 'POST' ? { 'content-length': String(body.length) } : {}) }
+function encodeCall ({ body, headers, isChunked, method, path, requestId }: AnswersCall): Buffer {
+  const framing = isChunked ? { 'transfer-encoding': 'chunked' } : { 'content-length': String(body.length) }
+  const all = { ...headers, 'x-request-id': requestId, ...(method === 'POST' ? framing : {}) }
   const lines = Object.entries(all).map(([name, value]) => `${name}: ${value}\r\n`)
-  return Buffer.concat([Buffer.from(`${method} ${path} HTTP/1.1\r\n${lines.join('')}\r\n`), body])
+  return Buffer.concat([Buffer.from(`${method} ${path} HTTP/1.1\r\n${lines.join('')}\r\n`), method === 'POST' && isChunked ? inChunks(body) : body])
 }
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersEncode.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersEncode.ts
@@ -104,7 +104,13 @@
   return text
 }
 
-function inChunks (body: Buffer): Buffer {
+/**
+ * Frames a body by chunks.
+ *
+ * @param body - any
+ * @returns chunks and the last one
+ */
+export function inChunks (body: Buffer): Buffer {
   const parts: Buffer[] = []
   const size = Math.max(1, Math.ceil(body.length / CHUNKS))
   for (let at = 0; at < body.length; at += size) {
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersFuzz.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersFuzz.ts
@@ -55,6 +55,7 @@
 const REQUEST_BYTES = [0, 10, 3_000, 200_000, 600_000] as const
 const READ_PAUSES_MS = [0, 0, 0, 2, 10] as const
 const CALL_PAUSES_MS = [0, 0, 1, 10] as const
+const CHUNKED_SHARE = 0.3
 const LEAVING_SHARE = 0.03
 const LATEST_LEAVE_MS = 60
 const CALLER_SEED = 7_919
@@ -128,6 +129,7 @@
     requestId,
     headers: { host: ANSWERS_HOST, 'x-deadline-ms': '5000', ...(PROMPT_KINDS.has(kind) ? { 'x-token-counts': '20,20' } : {}) },
     body: Buffer.from(`${requestId} `.repeat(Math.ceil(bytes / (requestId.length + 1)))),
+    isChunked: random.chance(CHUNKED_SHARE),
     readPauseMs: random.pick(READ_PAUSES_MS),
     leavesAfterMs: random.chance(LEAVING_SHARE) ? random.whole(LATEST_LEAVE_MS) : undefined
   }
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersProfiles.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersProfiles.ts
@@ -19,6 +19,7 @@
   readonly double: number
   readonly refusal: number
   readonly failure: number
+  readonly idleEnd: number
   readonly large: number
   /** Share of the large ones that no buffers of a kernel hold. */
   readonly huge: number
@@ -33,10 +34,10 @@
   readonly ownRefusal: number
 }
 
-const NONE: Weights = { cut: 0, double: 0, refusal: 0.03, failure: 0.03, large: 0.02, huge: 0, note: 0, prelude: 0, early: 0, odd: 0, coding: 0, ownDouble: 0, ownRefusal: 0.03 }
+const NONE: Weights = { cut: 0, double: 0, refusal: 0.03, failure: 0.03, idleEnd: 0, large: 0.02, huge: 0, note: 0, prelude: 0, early: 0, odd: 0, coding: 0, ownDouble: 0, ownRefusal: 0.03 }
 
 const WEIGHTS: Readonly<Record<AnswerProfile, Weights>> = {
-  resets: { ...NONE, cut: 0.5, large: 0.05 },
+  resets: { ...NONE, cut: 0.5, idleEnd: 0.3, large: 0.05 },
   doubles: { ...NONE, double: 0.4, refusal: 0.1, failure: 0.1, ownDouble: 0.3 },
   framing: { ...NONE, cut: 0.2, prelude: 0.1, early: 0.5, coding: 0.1 },
   streams: { ...NONE, cut: 0.2, odd: 0.7 },
@@ -44,7 +45,7 @@
   refusals: { ...NONE, double: 0.3, refusal: 0.4, failure: 0.15, ownDouble: 0.3, ownRefusal: 0.3 },
   headers: { ...NONE, note: 0.3, prelude: 0.1 },
   own_calls: { ...NONE, ownDouble: 0.5, ownRefusal: 0.3 },
-  mixed: { cut: 0.15, double: 0.15, refusal: 0.1, failure: 0.08, large: 0.1, huge: 0.1, note: 0.03, prelude: 0.04, early: 0.15, odd: 0.15, coding: 0.03, ownDouble: 0.15, ownRefusal: 0.1 }
+  mixed: { cut: 0.15, double: 0.15, refusal: 0.1, failure: 0.08, idleEnd: 0.1, large: 0.1, huge: 0.1, note: 0.03, prelude: 0.04, early: 0.15, odd: 0.15, coding: 0.03, ownDouble: 0.15, ownRefusal: 0.1 }
 }
 
 const LARGE_BYTES = [300_000, 1_000_000] as const
@@ -55,6 +56,7 @@
 const SMALL_EVENT_BYTES = [0, 20, 600] as const
 const LATEST_DOUBLE_MS = 300
 const LATEST_RESET_MS = 8
+const LATEST_IDLE_END_MS = 30
 const OWN_BYTES = 0
 
 /** Form of a stream's events, which another run of the request repeats. */
@@ -103,7 +105,8 @@
     cut: random.chance(weights.cut) ? drawCut(random) : undefined,
     double: random.chance(asked === 'run' ? weights.double : weights.ownDouble) ? drawDouble(random) : undefined,
     isEarly: random.chance(weights.early),
-    workMs: random.pick([0, 0, 1, 5, 20, 60] as const)
+    workMs: random.pick([0, 0, 1, 5, 20, 60] as const),
+    idleEnd: random.chance(weights.idleEnd) ? { how: random.pick(['fin', 'reset'] as const), afterMs: random.whole(LATEST_IDLE_END_MS) } : undefined
   }
 }
 
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersReplica.ts
@@ -12,7 +12,7 @@
 import { cutPosition, doubleBytes, endsConnection, playAnswer } from './BendfallFakesAnswersPlay.js'
 import { createRequestReader } from './BendfallFakesAnswersRequests.js'
 import type { RequestHead } from './BendfallFakesAnswersRequests.js'
-import type { AnswerScript, AskedFor } from './BendfallFakesAnswersScript.js'
+import type { AnswerScript, AskedFor, ScriptIdleEnd } from './BendfallFakesAnswersScript.js'
 import { describeScript, hasOpenEnd } from './BendfallFakesAnswersScript.js'
 import { digestOf } from './BendfallFakesAnswersTruth.js'
 import type { AnswersTruth, Arrival, SentAnswer } from './BendfallFakesAnswersTruth.js'
@@ -109,14 +109,15 @@
       const former = before
       before = Buffer.alloc(0)
       await playAnswer(socket, script, encoded, former)
-      const { double } = script
+      const { double, idleEnd } = script
+      if (idleEnd !== undefined) later(idleEnd.afterMs, () => endIdle(socket, idleEnd))
       if (double === undefined || endsConnection(script) || double.when === 'same_segment') return
       if (double.when === 'with_next') before = doubleBytes(double, encoded)
-      else later(double.afterMs, doubleBytes(double, encoded))
+      else later(double.afterMs, () => { if (socket.writable) socket.write(doubleBytes(double, encoded)) })
     }
 
-    function later (afterMs: number, bytes: Buffer): void {
-      setTimeout(() => { turn = turn.then(() => { if (socket.writable) socket.write(bytes) }) }, afterMs).unref()
+    function later (afterMs: number, act: () => void): void {
+      setTimeout(() => { turn = turn.then(act) }, afterMs).unref()
     }
 
     const reader = createRequestReader({
@@ -156,6 +157,11 @@
   }
 }
 
+function endIdle (socket: Socket, { how }: ScriptIdleEnd): void {
+  if (how === 'fin') socket.end()
+  else socket.resetAndDestroy()
+}
+
 function askedFor ({ headers, path }: RequestHead): AskedFor {
   const own = OWN_CALLS.find(([prefix]) => path.startsWith(prefix))
   if (own !== undefined) return own[1]
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScript.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScript.ts
@@ -31,6 +31,12 @@
   readonly afterMs: number
 }
 
+/** End of a connection that was kept behind an answer. */
+export interface ScriptIdleEnd {
+  readonly how: 'fin' | 'reset'
+  readonly afterMs: number
+}
+
 /** How one request is answered. */
 export interface AnswerScript {
   readonly status: 200 | 421 | 429 | 500 | 503
@@ -51,6 +57,8 @@
   readonly isLastOpen: boolean
   readonly cut?: ScriptCut
   readonly double?: ScriptDouble
+  /** Meets the next request where that comes sooner. */
+  readonly idleEnd?: ScriptIdleEnd
   /** Whether the answer begins before the request's body was read. */
   readonly isEarly: boolean
   readonly workMs: number
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersStage.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersStage.ts
@@ -87,6 +87,7 @@
     requestId,
     headers: { host: ANSWERS_HOST, 'x-deadline-ms': '3000', ...(PROMPT_KINDS.has(kind) ? { 'x-token-counts': '20,20' } : {}) },
     body: Buffer.alloc(0),
+    isChunked: false,
     readPauseMs: 0
   }
 }
