Fuzz second answers that break off at any byte of their head, with the id first or last

Part of a head and the next answer's head are read as one: a signature that holds a status line, a 500 that is delivered as 200 and the other way round.

--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersForeignMemory.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersForeignMemory.test.ts
@@ -13,9 +13,9 @@
 const READ_AFTER_MS = 80
 
 const DOUBLES: Readonly<Record<string, ScriptDouble>> = {
-  'right before the next answer': { part: 'whole', when: 'with_next', afterMs: 0 },
-  'in the segment of the first': { part: 'whole', when: 'same_segment', afterMs: 0 },
-  'while its connection is idle': { part: 'whole', when: 'late', afterMs: 20 }
+  'right before the next answer': { part: 'whole', when: 'with_next', afterMs: 0, share: 0.5 },
+  'in the segment of the first': { part: 'whole', when: 'same_segment', afterMs: 0, share: 0.5 },
+  'while its connection is idle': { part: 'whole', when: 'late', afterMs: 20, share: 0.5 }
 }
 
 for (const doubled of ['prefill', 'hold'] as const satisfies readonly AskedFor[]) {
--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersForeignRefusal.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersForeignRefusal.test.ts
@@ -22,7 +22,7 @@
       if (asked !== 'hold') return {}
       const before = holds.get(replicaId) ?? 0
       holds.set(replicaId, before + 1)
-      return before === 0 ? { status, workMs: REFUSED_AFTER_MS, double: { part: 'whole', when: 'with_next', afterMs: 0 } } : {}
+      return before === 0 ? { status, workMs: REFUSED_AFTER_MS, double: { part: 'whole', when: 'with_next', afterMs: 0, share: 0.5 } } : {}
     }
     await onAnswersStage({ replicaIds: ['i-p', 'i-a'], scriptOf }, async ({ arrivals, broken, call }) => {
       await Promise.all([call('summary', 'refused'), call('summary', 'runs')])
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersEncode.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersEncode.ts
@@ -67,17 +67,19 @@
   return { head: headOf(script, of, body.length), framed: script.framing === 'chunked' ? inChunks(body) : body, body }
 }
 
-function headOf ({ connection, framing, note, status }: AnswerScript, { asked, replicaId, requestId }: AnswerOf, bodyBytes: number): Buffer {
+function headOf ({ connection, framing, isIdLast, note, status }: AnswerScript, { asked, replicaId, requestId }: AnswerOf, bodyBytes: number): Buffer {
+  const id = requestId === undefined ? [] : [`X-Request-Id: ${requestId}`]
   const lines = [
     `HTTP/1.1 ${status} ${REASONS[status]}`,
-    ...(requestId === undefined ? [] : [`X-Request-Id: ${requestId}`]),
+    ...(isIdLast ? [] : id),
     ...(isRefusal(status) ? ['X-Not-Executed: 1'] : []),
     ...(asked === 'run' && !isRefusal(status) ? [`X-Response-Stamp: ${replicaId}`] : []),
     ...(connection === 'none' ? [] : [`Connection: ${connection}`]),
     ...(connection === 'keep-alive' ? ['Keep-Alive: timeout=5'] : []),
     ...(framing === 'length' ? [`Content-Length: ${bodyBytes}`] : []),
     ...(framing === 'chunked' ? ['Transfer-Encoding: chunked'] : []),
-    ...(framing === 'identity' ? ['Transfer-Encoding: identity'] : [])
+    ...(framing === 'identity' ? ['Transfer-Encoding: identity'] : []),
+    ...(isIdLast ? id : [])
   ]
   return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\n`), NOTES[note], Buffer.from('\r\n')])
 }
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersJudge.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersJudge.ts
@@ -14,7 +14,7 @@
 
 /** A promise that was broken. */
 export type ViolationClass =
-  | 'changed_header' | 'crash' | 'cut_looks_complete' | 'foreign_answer' | 'foreign_handle' | 'foreign_hold' | 'handle_reused' | 'other_request_sent' | 'other_status'
+  | 'changed_header' | 'crash' | 'cut_looks_complete' | 'foreign_answer' | 'foreign_handle' | 'foreign_hold' | 'handle_reused' | 'other_request_sent' | 'other_stamp' | 'other_status'
   | 'ran_twice' | 'refused_and_ran' | 'reset_looks_complete' | 'silent' | 'stream_pieces' | 'stream_tail_dropped' | 'unasked_answer' | 'unsigned'
 
 /** A broken promise and its evidence. */
@@ -83,6 +83,8 @@
   const found: Array<readonly [ViolationClass, string]> = []
   const ids = answer.headers.get('x-request-id') ?? []
   const isSigned = answer.headers.has('x-response-stamp')
+  const stamps = answer.headers.get('x-response-stamp') ?? []
+  if (stamps.some((stamp) => !/^i-[a-z]$/.test(stamp))) found.push(['other_stamp', stamps.join(', ')])
   if (ids.some((id) => id !== requestId)) found.push(['foreign_answer', `bears the id ${ids.join(', ')}`])
   if (answer.status < 300 && !isSigned) found.push(['unsigned', `status ${answer.status}`])
   if ((answer.headers.get('x-note') ?? []).some((note) => !ANSWER_NOTES.has(note))) found.push(['changed_header', `note ${answer.headers.get('x-note')}`])
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersPlay.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersPlay.ts
@@ -54,11 +54,11 @@
  * @param answer - the first answer
  * @returns the bytes
  */
-export function doubleBytes ({ part }: ScriptDouble, answer: EncodedAnswer): Buffer {
+export function doubleBytes ({ part, share }: ScriptDouble, answer: EncodedAnswer): Buffer {
   if (part === 'whole') return Buffer.concat([answer.head, answer.framed])
   if (part === 'line_cut') return answer.head.subarray(0, STATUS_BYTES)
-  if (part === 'head_cut') return answer.head.subarray(0, Math.ceil(answer.head.length / 2))
-  return Buffer.concat([answer.head, answer.framed.subarray(0, Math.floor(answer.framed.length / 2))])
+  if (part === 'head_cut') return answer.head.subarray(0, Math.ceil(share * answer.head.length))
+  return Buffer.concat([answer.head, answer.framed.subarray(0, Math.floor(share * answer.framed.length))])
 }
 
 /**
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersProfiles.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersProfiles.ts
@@ -98,6 +98,7 @@
     connection: hasOpenEnd(framing) ? random.pick(['close', 'none'] as const) : random.pick(['none', 'none', 'keep-alive', 'close'] as const),
     prelude: random.chance(weights.prelude) ? random.pick(['hints', 'garbage'] as const) : 'none',
     note: random.chance(weights.note) ? random.pick(['ascii', 'latin1', 'utf8'] as const) : 'none',
+    isIdLast: random.chance(0.3),
     write: random.pick(['whole', 'whole', 'pieces', 'bytes'] as const),
     pieces: 2 + random.whole(6),
     pieceDelayMs: random.whole(5),
@@ -132,8 +133,9 @@
 
 function drawDouble (random: Random): ScriptDouble {
   return {
-    part: random.pick(['whole', 'whole', 'whole', 'body_cut', 'head_cut', 'line_cut'] as const),
+    part: random.pick(['whole', 'whole', 'whole', 'body_cut', 'head_cut', 'head_cut', 'line_cut'] as const),
     when: random.pick(['late', 'late', 'with_next', 'same_segment'] as const),
-    afterMs: random.pick([0, 1, random.whole(20), random.whole(LATEST_DOUBLE_MS)] as const)
+    afterMs: random.pick([0, 1, random.whole(20), random.whole(LATEST_DOUBLE_MS)] as const),
+    share: random.whole(1_000) / 1_000
   }
 }
--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScript.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScript.ts
@@ -29,6 +29,8 @@
   /** In the segment of the first, some time after it, or right before the next answer on the connection. */
   readonly when: 'late' | 'same_segment' | 'with_next'
   readonly afterMs: number
+  /** Place within the part at which it breaks off, 0 to 1. */
+  readonly share: number
 }
 
 /** End of a connection that was kept behind an answer. */
@@ -46,6 +48,8 @@
   readonly prelude: 'garbage' | 'hints' | 'none'
   /** Characters of a header's value. */
   readonly note: 'ascii' | 'latin1' | 'none' | 'utf8'
+  /** Whether the id stands behind the other lines of the head. */
+  readonly isIdLast: boolean
   readonly write: 'bytes' | 'pieces' | 'whole'
   readonly pieces: number
   readonly pieceDelayMs: number
@@ -71,6 +75,7 @@
   connection: 'none',
   prelude: 'none',
   note: 'none',
+  isIdLast: false,
   write: 'whole',
   pieces: 1,
   pieceDelayMs: 0,
