Refuse a head that is made of two answers; read transfer codings as the framing does

Cause: a second answer that breaks off within its head is continued by the right answer behind it: one head with the status of the one and the id, signature and body of the other (a 500 was delivered as 200). And an answer with another transfer coding than chunked, closed in order before its end, was held and given a length by us. Change: a start line within the status text or a header's value makes the answer one of another call; whether an answer is passed on without a length follows the same reading of its framing as its end.

--- a/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeExchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import { framingOf } from 'bendfall-platform'
 import { toCallerHeaders } from './BendfallEdgeHeaders.js'
 import type { CallerRequest } from '../BendfallEdgeDialect.js'
 
@@ -45,6 +46,8 @@
 
 const MS_PER_SECOND = 1_000
 
+const OK_STATUS = 200
+
 /** From the last bytes of an answer to its reset: 0 of 500 callers found them together after 10 ms, 5 after 2 ms. */
 export const RESET_PAUSE_MS = 10
 
@@ -116,8 +119,9 @@
   }
 }
 
+// Read as of an answer with a body: one without needs no length either.
 function isWithoutLength (headers: IncomingHttpHeaders): boolean {
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+  return framingOf('GET', OK_STATUS, headers) === 'connection'
 }
 
 // An answer whose end only its connection tells is passed on the same way: a
--- a/packages/bendfall-edge/src/replica/BendfallEdgeAnswerIdentity.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeAnswerIdentity.ts
@@ -29,6 +29,9 @@
   readonly onGarbled: (requestId: string, detail: string) => void
 }
 
+/** How an answer starts (RFC 9112, section 4). */
+const START_LINE = /HTTP\/1\.[01] \d{3}/
+
 /** What came belongs to another request, or does not tell to which. */
 class ForeignAnswerError extends Error {
   override readonly name = 'ForeignAnswerError'
@@ -49,9 +52,9 @@
   const { requestId } = request
   const call = startReplicaCall(pool, request, {
     ...listener,
-    onHead: (status, headers) => {
+    onHead: (status, headers, statusText) => {
       const head = dialect.readAnswerHead(status, headers)
-      const foreign = describeForeign(requestId, head)
+      const foreign = isJoined(headers, statusText) ? 'heads of two answers in one' : describeForeign(requestId, head)
       if (foreign === undefined) return listener.onHead(status, headers, head)
       call.abort()
       onGarbled(requestId, foreign)
@@ -61,6 +64,13 @@
   return call
 }
 
+// A second answer that broke off within its head is continued by the answer behind it: the
+// status is of the one, the id of the other. The second start line is then in a value.
+function isJoined (headers: IncomingHttpHeaders, statusText: string): boolean {
+  if (START_LINE.test(statusText)) return true
+  return Object.values(headers).flat().some((value) => value !== undefined && START_LINE.test(value))
+}
+
 function describeForeign (requestId: string, head: AnswerHead): string | undefined {
   if (head.requestId === undefined) return 'answer without a request id'
   return head.requestId === requestId ? undefined : `answer to another request: ${head.requestId}`
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -25,7 +25,7 @@
 
 /** Takes what comes of a call; after `onEnd` or `onFail` nothing more comes. */
 export interface ReplicaCallListener {
-  readonly onHead: (status: number, headers: IncomingHttpHeaders) => void
+  readonly onHead: (status: number, headers: IncomingHttpHeaders, statusText: string) => void
   readonly onChunk: (chunk: Buffer) => void
   /** @param framing - what told the end of the answer */
   readonly onEnd: (framing: AnswerFraming) => void
@@ -77,10 +77,10 @@
       controller = started
       if (isOver) started.abort(new Error('given up'))
     },
-    onResponseStart: (_, status, headers) => {
+    onResponseStart: (_, status, headers, statusText = '') => {
       if (isOver || status < FIRST_FINAL_STATUS) return
       framing = framingOf(request.method, status, headers)
-      listener.onHead(status, headers)
+      listener.onHead(status, headers, statusText)
     },
     onResponseData: (_, chunk) => {
       if (!isOver) listener.onChunk(chunk)
