Keep the id of a request that its connection claims; give back connections whose answer was reset

Cause: a request whose Connection header names X-Request-Id was sent on without its id, so that no answer to it could be believed: two replicas ran it, and the caller got 502. A connection whose unframed answer was reset stayed in its pool. Change: headers that tell which request it is are end to end; each end gives its connection back.

--- a/packages/bendfall-edge/src/caller/BendfallEdgeHeaders.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeHeaders.ts
@@ -11,20 +11,28 @@
   'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 
+/** Headers of a request that don't go by the general rule, in lower case. */
+export interface HeaderExceptions {
+  readonly dropped: ReadonlySet<string>
+  /** Kept although the `Connection` header names them. */
+  readonly endToEnd: ReadonlySet<string>
+}
+
 /**
  * Leaves out headers that concern the caller's connection, those that the
- * `Connection` header names, and those that a set names.
+ * `Connection` header names, and those that are to be dropped.
  *
  * @param raw - names and values by turns
- * @param others - further names to leave out, in lower case
+ * @param exceptions - further names to leave out, and names to keep
  * @returns names and values by turns
  */
-export function dropConnectionHeaders (raw: readonly string[], others: ReadonlySet<string>): string[] {
+export function dropConnectionHeaders (raw: readonly string[], { dropped, endToEnd }: HeaderExceptions): string[] {
   const named = namedByConnection(raw)
   const kept: string[] = []
   for (let i = 0; i + 1 < raw.length; i += 2) {
     const name = (raw[i] as string).toLowerCase()
-    if (CONNECTION_HEADERS.has(name) || named.has(name) || others.has(name)) continue
+    const isOfConnection = CONNECTION_HEADERS.has(name) || (named.has(name) && !endToEnd.has(name))
+    if (isOfConnection || dropped.has(name)) continue
     kept.push(raw[i] as string, raw[i + 1] as string)
   }
   return kept
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -86,11 +86,11 @@
       if (!isOver) listener.onChunk(chunk)
     },
     onResponseEnd: () => {
-      if (!finish()) return
-      if (framing === 'connection' && connection.end() !== 'orderly') return listener.onFail(new ConnectionResetError('connection reset within an answer without a length'), true)
-      listener.onEnd(framing)
       // The client is free only once this handler has returned.
       setImmediate(() => pool.giveBack(connection))
+      if (!finish()) return
+      if (framing === 'connection' && connection.end() !== 'orderly') listener.onFail(new ConnectionResetError('connection reset within an answer without a length'), true)
+      else listener.onEnd(framing)
     },
     onResponseError: (_, error) => {
       setImmediate(() => pool.giveBack(connection))
