--- a/packages/bendfall-node/src/__tests__/unit/BendfallNodeTransport.test.ts
+++ b/packages/bendfall-node/src/__tests__/unit/BendfallNodeTransport.test.ts
@@ -1,10 +1,12 @@
 import { once } from 'node:events'
 import { connect, constants, createServer } from 'node:http2'
 import type { AddressInfo } from 'node:net'
+import { setTimeout as pause } from 'node:timers/promises'
+import { create, toBinary } from '@bufbuild/protobuf'
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
 import type { Effect, Event, InstanceRecord, LoadView, State, Step } from 'bendfall-core'
-import { SidecarService } from 'bendfall-protocol'
+import { RelayResponseSchema, SidecarService } from 'bendfall-protocol'
 import { Map as ImmutableMap } from 'immutable'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -13,6 +15,7 @@
 import { createRuntime } from '../../runtime/BendfallNodeRuntime.js'
 import type { Runtime } from '../../runtime/BendfallNodeRuntime.js'
 import { createConnections } from '../../transport/BendfallNodeConnections.js'
+import { encodeEnvelope } from '../../transport/BendfallNodeEnvelope.js'
 import { incarnationDigest } from '../../transport/BendfallNodeHeartbeat.js'
 import { listenForPeers } from '../../transport/BendfallNodePeerListener.js'
 import { RELAY_PATH } from '../../transport/BendfallNodeRelayServer.js'
@@ -241,6 +244,25 @@
   server.close()
 })
 
+// An end that lacks the load of its sidecar was noted as the end of its decode and then refused:
+// the request got no end at all and waited for its deadline.
+test('a decode whose end can not be read has failed', async () => {
+  const end = toBinary(RelayResponseSchema, create(RelayResponseSchema, { items: [{ channel: 1, end: { finished: true, tokenCount: 0 } }] }))
+  const server = createServer().on('stream', (stream) => {
+    stream.on('error', () => {})
+    stream.respond({ ':status': 200, 'content-type': 'application/connect+proto' })
+    stream.once('data', () => stream.write(encodeEnvelope(0, end)))
+  })
+  await once(server.listen(0, '127.0.0.1'), 'listening')
+  const it = await setUp(() => [], `127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const ended = it.entry.next('decode_ended')
+  it.carryOut({ type: 'send_decode', instanceId: 'other', ask: DECODE })
+  const event = await Promise.race([ended, pause(1_000)])
+  assert.equal((event as { end: unknown } | undefined)?.end, { type: 'failed', reason: 'upstream_unreachable', kvLost: false })
+  await it.close()
+  server.close()
+})
+
 test('a renewal brings the requests that the sidecar lost, an empty one its load', async () => {
   const it = await setUp(() => [])
   const refused = it.entry.next('leases_refused')
