Take a decode for ended only when its end was read

Cause: the flag was set before the item was decoded; an end without its load threw after it. Change: the flag follows the decoding, so that the decode fails as unreachable and is tried again.

--- a/packages/bendfall-node/src/transport/BendfallNodeSidecarClients.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeSidecarClients.ts
@@ -204,8 +204,9 @@
   if (connection === undefined) return false
   let ended = false
   await parts.relays.decode(connection.session, toDecodeRequest(ask, parts.sender.stamp()), signal, (item) => {
-    ended = item.end !== undefined
+    // An end that can't be read throws: the decode has not ended then.
     dispatchItem(parts, name, item)
+    ended = item.end !== undefined
   })
   return ended
 }
