--- a/packages/bendfall-node/src/__tests__/unit/BendfallNodeMessages.test.ts
+++ b/packages/bendfall-node/src/__tests__/unit/BendfallNodeMessages.test.ts
@@ -78,8 +78,10 @@
   assert.throws(() => messages.fromReserveResponse(sent(ReserveResponseSchema, { load: {} })), /without result/)
   assert.throws(() => messages.fromReserveResponse(sent(ReserveResponseSchema, {})), /without load/)
   assert.throws(() => messages.fromReserveRequest(sent(ReserveRequestSchema, { trafficClass: 'summary' })), /without sender/)
-  const later = sent(DecodeEndSchema, { reason: 'of_a_later_version' })
-  assert.equal(messages.fromDecodeEnd(later), { type: 'failed', reason: 'upstream_failed', kvLost: false })
+  for (const reason of ['of_a_later_version', 'constructor', '__proto__']) {
+    const later = sent(DecodeEndSchema, { reason })
+    assert.equal(messages.fromDecodeEnd(later), { type: 'failed', reason: 'upstream_failed', kvLost: false })
+  }
 })
 
 test('the codec of tokens agrees with the general one', () => {
