--- a/packages/bendfall-node/src/transport/BendfallNodeMessages.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeMessages.ts
@@ -61,7 +61,7 @@
 }
 
 function toReason (text: string): RefusalReason {
-  return text in REASONS ? text as RefusalReason : 'upstream_failed'
+  return Object.hasOwn(REASONS, text) ? text as RefusalReason : 'upstream_failed'
 }
 
 function toRefusedOutcome (text: string): RefusedOutcome {
