Test that a cut answer of the platform's services is not believed

No fault: 8 kinds of answer, cut by an orderly end at each byte, are unavailable or, for a write, of unknown outcome; 8 of 8 cases pass on the code as it is.

--- /dev/null
+++ b/packages/bendfall-platform/src/__tests__/unit/BendfallPlatformHttpCut.test.ts
@@ -0,0 +1,67 @@
+// An answer without a length may be ended in order within its body: nothing of the connection
+// tells. What protects plans, configurations and instances then is that a JSON object, and a
+// gzip of one, is no longer one when its end is missing.
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { gzipSync } from 'node:zlib'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createHttpInstanceList } from '../../BendfallPlatformHttpInstances.js'
+import { createHttpKeyValue } from '../../BendfallPlatformHttpKeyValue.js'
+
+type Call = (origin: string) => Promise<{ readonly type: string }>
+
+const ENTRY = { key: 'a', value: '{"version":12}', revision: 412, leaseId: '' }
+const INSTANCES = { type: 'listed', instances: [{ instanceId: 'i', availabilityZone: 'levis', address: '127.0.0.1:1', kind: 'entry', pool: '', state: 'live' }] }
+
+function keyValue (call: (port: ReturnType<typeof createHttpKeyValue>) => Promise<{ readonly type: string }>): Call {
+  return async (origin) => {
+    const port = createHttpKeyValue({ origin })
+    return await call(port).finally(() => port.close())
+  }
+}
+
+const instances: Call = async (origin) => {
+  const port = createHttpInstanceList({ origin })
+  return await port.list().finally(() => port.close())
+}
+
+const CASES: ReadonlyArray<readonly [string, Buffer, string, Call, string]> = [
+  ['a value', jsonOf({ type: 'found', entry: ENTRY }), '', keyValue((port) => port.get('a')), 'unavailable'],
+  ['a missing value', jsonOf({ type: 'missing', storeRevision: 412 }), '', keyValue((port) => port.get('a')), 'unavailable'],
+  ['a list', jsonOf({ type: 'listed', entries: [ENTRY], storeRevision: 412 }), '', keyValue((port) => port.list('a')), 'unavailable'],
+  ['a watch', jsonOf({ type: 'changed', entries: [ENTRY], deletedKeys: ['b'], storeRevision: 412 }), '', keyValue((port) => port.watch('a', 1, 1)), 'unavailable'],
+  ['a write', jsonOf({ type: 'applied', revision: 412 }), '', keyValue((port) => port.compareAndSwap({ key: 'a', expectedRevision: 1, value: '', leaseId: '' })), 'unknown'],
+  ['a lease', jsonOf({ type: 'granted', leaseId: '7', ttlMs: 3000 }), '', keyValue((port) => port.grantLease(3_000)), 'unavailable'],
+  ['an instance list', jsonOf(INSTANCES), '', instances, 'unavailable'],
+  ['a compressed instance list', gzipSync(JSON.stringify(INSTANCES)), 'content-encoding: gzip\r\n', instances, 'unavailable']
+]
+
+function jsonOf (value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value))
+}
+
+async function answeredWith (headers: string, body: Buffer, call: Call): Promise<string> {
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => socket.end(Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\n${headers}connection: close\r\n\r\n`), body])))
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  try {
+    return (await call(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)).type
+  } finally {
+    server.close()
+  }
+}
+
+for (const [what, body, headers, call, expected] of CASES) {
+  test(`${what} that ends at any byte before its last is not believed`, async () => {
+    for (let bytes = 0; bytes < body.length; bytes += 1) {
+      assert.is(await answeredWith(headers, body.subarray(0, bytes), call), expected, `${bytes} bytes`)
+    }
+    assert.not.equal(await answeredWith(headers, body, call), expected)
+  })
+}
+
+test.run()
