--- a/packages/bendfall-core/src/__tests__/unit/BendfallCoreSidecarDecode.test.ts
+++ b/packages/bendfall-core/src/__tests__/unit/BendfallCoreSidecarDecode.test.ts
@@ -70,12 +70,10 @@
   return { sidecar, effects: sidecar.send({ type: 'decode_asked', ask: decodeAsk('r1') }) }
 }
 
-// Seen beside 20 and 24 busy processes: callers were refused with prefill_lost, or answered only
-// by the third attempt. Order of events, by the processes' time lines: a transfer started and
-// had brought no byte after 333 to 358 ms in which the processes hardly got the processor; it
-// was given up as stalled; the second attempt fetched the result 880 to 945 ms after it was
-// made, when its 800 ms were over. Cause: the time without progress was taken from the clock,
-// also where the process did not run and nothing could have come.
+// Beside 24 busy processes transfers were given up as stalled 300 to 474 ms after their start,
+// without a byte, and their retries found the result evicted. The time without progress was
+// taken from the clock, also where the process stood still and could not have read a byte. That
+// is a part of it only: an engine that gets no processor is not seen by the sidecar's clock.
 for (const standstillMs of [250, 60_000]) {
   test(`a transfer is not stalled by ${standstillMs} ms in which the process stands still`, () => {
     const { effects, sidecar } = startTransfer()
--- a/packages/bendfall-core/src/sidecar/BendfallCoreSidecarDecode.ts
+++ b/packages/bendfall-core/src/sidecar/BendfallCoreSidecarDecode.ts
@@ -21,9 +21,9 @@
 export const PROGRESS_DEADLINE_MS = 300
 
 /**
- * Between two looks at a transfer, and the most that one look counts. What a look is late, the
- * process stood still, and most likely the engine on the same machine too: beside 24 busy
- * processes on 16 cores 3 transfers of 378 were given up after 300 ms on the clock.
+ * Between two looks at a transfer, and the most that one look counts: what a look is late, the
+ * process stood still and could read no byte. Beside 24 busy processes on 16 cores one timer of
+ * 300 ms came up to 174 ms late.
  */
 export const PROGRESS_LOOK_MS = 50
 
