--- a/packages/bendfall-edge/src/caller/BendfallEdgeCallerTurns.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeCallerTurns.ts
@@ -36,9 +36,10 @@
   brokenStatus?: number
 }
 
-/** Requests that wait on one connection; a caller that sends more is told only by its end. */
+/** Requests that wait on one connection; those behind them are not run. */
 const LONGEST_QUEUE = 100
 
+const NOT_RUN = 503
 const BAD_REQUEST = 400
 
 /** Statuses by the code of the parser's error, as the server itself chooses them. */
@@ -95,7 +96,7 @@
       const turn = { request, response, start }
       if (connection?.current === undefined) begin(connection ?? { waiting: [] }, turn)
       else if (connection.waiting.length < LONGEST_QUEUE) connection.waiting.push(turn)
-      else connection.brokenStatus = BAD_REQUEST
+      else connection.brokenStatus ??= NOT_RUN
     },
     hasNext: ({ socket }) => (connections.get(socket)?.waiting.length ?? 0) > 0
   }
