Fuzz: judge answers that went on elsewhere byte by byte too

Answers of requests with more than one send were judged by their pieces alone. Each run of a request has the same form, so the joined answer is one run's whole body.

--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersJudge.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersJudge.ts
@@ -91,10 +91,11 @@
   if (!isSigned) return found
   const ofStatus = arrivals.filter(({ answer: sent, asked }) => asked === 'run' && sent.status === answer.status && !isRefusal(sent.status))
   if (ofStatus.length === 0) found.push(['other_status', `signed ${answer.status}`])
-  else if (answer.isComplete && !ofStatus.some(({ answer: sent }) => isSame(answer, sent)) && !isResumed(arrivals)) found.push([nameCut(ofStatus), `got ${digestOf(answer.body)}`])
+  else if (answer.isComplete && !ofStatus.some(({ answer: sent }) => isSame(answer, sent))) found.push([nameCut(ofStatus), `got ${digestOf(answer.body)}`])
   return found
 }
 
+// A stream that went on elsewhere is the same as one run from its first event: each run has the same form.
 // An answer that its replica ended in order without a length may be any part of what it meant to send.
 function isSame (answer: ReadAnswer, sent: Arrival['answer']): boolean {
   const got = digestOf(answer.body)
@@ -106,11 +107,6 @@
   return arrivals.some(({ isStream }) => isStream) ? 'stream_tail_dropped' : 'cut_looks_complete'
 }
 
-// Its body is made of two runs; its pieces are judged.
-function isResumed (arrivals: readonly Arrival[]): boolean {
-  return arrivals.filter(({ asked }) => asked === 'run').length > 1
-}
-
 function judgePieces ({ requestId }: AnswersCall, { body, framing, isComplete }: ReadAnswer): Array<readonly [ViolationClass, string]> {
   const text = body.toString('utf8').replaceAll('\r\n', '\n').replaceAll('\r', '\n')
   const ids = [...text.matchAll(/^id: (\d+)\ndata: (\S+) piece/gm)].map((match) => ({ id: Number(match[1]), of: match[2] }))
