Believe no older word of a replica that left or drains

Cause: a service that comes back from an older copy lists replicas that have left since, and tells those that drain as ready, at revisions above all before: the entry used them. A process that never knew such a replica can't tell.

--- a/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
@@ -7,6 +7,7 @@
 import type { Replica } from '../BendfallRouterTypes.js'
 import { isLeaving } from './BendfallRouterBelief.js'
 import type { RouterContext } from './BendfallRouterContext.js'
+import { isOldWord, noteDeparted } from './BendfallRouterDeparted.js'
 import { addReplica, removeReplica, renewReplica, replicaAt } from './BendfallRouterMembers.js'
 import { endFormerIncarnation } from './BendfallRouterRestarts.js'
 import type { RouterState } from './BendfallRouterState.js'
@@ -23,7 +24,7 @@
   const { state } = context
   const { replicaId } = replica
   const known = state.replicas.get(replicaId)
-  if (known !== undefined && isOutdated(replica, known.replica)) return
+  if (known !== undefined ? isOutdated(replica, known.replica) : isOldWord(context, replica)) return
   if (isForeign(state, replica)) return noteForeign(context, replica)
   state.foreign.delete(replicaId)
   if (known !== undefined && isSameIncarnation(replica, known.replica)) {
@@ -53,9 +54,14 @@
   effects.push({ type: 'log', decision: 'replica_learned', requestId: '', inputs: { replica: replicaId, service, stage, isDraining, revision, startedAtMs } })
 }
 
-// Watches and full reads overlap, and a process that has ended may still be told of.
+// Watches and full reads overlap, and a process that has ended may still be told of. An
+// older copy of the registrations tells former words at higher revisions: by its own count
+// the replica said more since, and one that leaves never says that it stays.
 function isOutdated (replica: Replica, known: Replica): boolean {
-  if (replica.startedAtMs !== undefined && known.startedAtMs !== undefined && replica.startedAtMs !== known.startedAtMs) return replica.startedAtMs < known.startedAtMs
+  if (replica.startedAtMs !== undefined && known.startedAtMs !== undefined) {
+    if (replica.startedAtMs !== known.startedAtMs) return replica.startedAtMs < known.startedAtMs
+    if (replica.heartbeats < known.heartbeats || (known.isDraining && !replica.isDraining)) return true
+  }
   return replica.revision < known.revision
 }
 
@@ -92,7 +98,10 @@
  * @param context - of the event
  * @param replicaId - of the replica
  */
-export function forgetReplica ({ effects, state }: RouterContext, replicaId: string): void {
+export function forgetReplica (context: RouterContext, replicaId: string): void {
+  const { effects, state } = context
+  const last = state.replicas.get(replicaId)?.replica
+  if (last !== undefined) noteDeparted(context, last)
   const isKnown = removeReplica(state, replicaId)
   state.foreign.delete(replicaId)
   state.replaced.delete(replicaId)
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -10,6 +10,7 @@
 import type { PoolWork } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import type { RetryBudget } from './BendfallRouterBudget.js'
+import type { DepartedReplica } from './BendfallRouterDeparted.js'
 
 /** Step of the path that a request is in. */
 export type Phase = 'plain' | 'loads' | 'queue' | 'reserve' | 'hold' | 'prefill' | 'confirm' | 'run' | 'ended'
@@ -178,6 +179,8 @@
   replicasCurrentAtMs: number
   /** Replicas whose address another one has, by id, with the id of that one. */
   readonly replaced: Map<string, string>
+  /** Last words of replicas whose registration is gone, by id. */
+  readonly departed: Map<string, DepartedReplica>
   /** Registrations that name no replica of a service of the configuration, by id. */
   readonly foreign: Map<string, Replica>
   /** Ids of the replicas, by address. */
@@ -236,6 +239,7 @@
     replicas: new Map(),
     replicasCurrentAtMs: -Infinity,
     replaced: new Map(),
+    departed: new Map(),
     foreign: new Map(),
     byAddress: new Map(),
     missing: new Set(),
