--- a/packages/bendfall-edge/src/caller/BendfallEdgeCallerTurns.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeCallerTurns.ts
@@ -21,6 +21,8 @@
   readonly take: (request: IncomingMessage, response: ServerResponse, start: () => void) => void
   /** @returns whether other requests wait for the end of this one's answer */
   readonly hasNext: (request: IncomingMessage) => boolean
+  /** @returns number of requests that wait on the connection of this one */
+  readonly waiting: (request: IncomingMessage) => number
 }
 
 interface Turn {
@@ -70,10 +72,19 @@
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const connection = connections.get(socket)
     const status = ERROR_STATUSES[error.code ?? ''] ?? BAD_REQUEST
-    if (connection?.current?.request.complete === true && socket.writable) connection.brokenStatus = status
-    else refuseRest(socket, status)
+    const current = connection?.current
+    if (connection === undefined || current === undefined || !current.request.complete || !socket.writable) return refuseRest(socket, status)
+    connection.brokenStatus = status
+    if (socket.readableEnded) leave(socket, current)
   })
 
+  // The server closes nothing after an error, so that nobody would learn that the caller has
+  // left: a replica worked on for 1.9 s.
+  function leave (socket: Duplex, { response }: Turn): void {
+    if (response.writableEnded) socket.end()
+    else socket.destroy()
+  }
+
   function begin (connection: Connection, turn: Turn): void {
     const { request: { complete, socket }, response, start } = turn
     if (connection.brokenStatus !== undefined && !complete) return refuseRest(socket, connection.brokenStatus)
@@ -90,6 +101,8 @@
     else if (connection.brokenStatus !== undefined) refuseRest(socket, connection.brokenStatus)
   }
 
+  const waiting = (socket: Duplex): number => connections.get(socket)?.waiting.length ?? 0
+
   return {
     take: (request, response, start) => {
       const connection = connections.get(request.socket)
@@ -98,7 +111,8 @@
       else if (connection.waiting.length < LONGEST_QUEUE) connection.waiting.push(turn)
       else connection.brokenStatus ??= NOT_RUN
     },
-    hasNext: ({ socket }) => (connections.get(socket)?.waiting.length ?? 0) > 0
+    hasNext: ({ socket }) => waiting(socket) > 0,
+    waiting: ({ socket }) => waiting(socket)
   }
 }
 
--- a/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
@@ -64,7 +64,11 @@
     const arrivedMs = performance.now()
     request.on('error', ignoreError)
     response.on('error', ignoreError)
-    turns.take(request, response, () => take(options, request, response, performance.now() - arrivedMs, () => turns.hasNext(request)))
+    // Unread, the body of a request that waits keeps the end of its connection from being
+    // seen, and a replica works on for a caller that has left; one body is read ahead at most.
+    const readAhead = turns.waiting(request) === 0 ? readBody(request, options.limits().bodyBytes) : undefined
+    const hasNext = (): boolean => turns.hasNext(request)
+    turns.take(request, response, () => take(options, { request, response, hasNext, waitedMs: performance.now() - arrivedMs, readAhead }))
   })
 
   function applyLimits (): void {
@@ -78,7 +82,14 @@
   return { server, applyLimits }
 }
 
-function take (options: CallerServerOptions, request: IncomingMessage, response: ServerResponse, waitedMs: number, hasNext: () => boolean): void {
+/** A request whose turn it is. */
+interface StartedRequest extends Pick<WholeRequest, 'request' | 'response' | 'hasNext'> {
+  readonly waitedMs: number
+  /** Its body, where that was read while the request waited. */
+  readonly readAhead?: BodyReader
+}
+
+function take (options: CallerServerOptions, { hasNext, readAhead, request, response, waitedMs }: StartedRequest): void {
   const reject = (status: number, message: string, requestId?: string): void => {
     options.onRejected(status, message, requestId)
     refuse(response, status, message, true, requestId)
@@ -89,7 +100,8 @@
   if (read.isErr()) return reject(read.error.status, read.error.message)
   const caller = withoutWait(read.value, waitedMs)
   if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return reject(413, 'request body too large', caller.requestId)
-  readBody(request, limits.bodyBytes, (body) => {
+  const reader = readAhead ?? readBody(request, limits.bodyBytes)
+  reader.onWhole((body) => {
     if (body === undefined) reject(413, 'request body too large', caller.requestId)
     else options.onRequest({ request, response, caller, body, hasNext })
   })
@@ -100,15 +112,34 @@
   return caller.deadlineMs === undefined ? caller : { ...caller, deadlineMs: caller.deadlineMs - waitedMs }
 }
 
-function readBody (request: IncomingMessage, maxBytes: number, onBody: (body: Buffer | undefined) => void): void {
+/** Reads a body from when it is made. */
+interface BodyReader {
+  /** @param listener - takes the body once it is whole; undefined where it is too large */
+  readonly onWhole: (listener: (body: Buffer | undefined) => void) => void
+}
+
+function readBody (request: IncomingMessage, maxBytes: number): BodyReader {
   const chunks: Buffer[] = []
   let bytes = 0
+  let isWhole = false
+  let listener: (body: Buffer | undefined) => void = () => {}
+  const tell = (): void => listener(bytes > maxBytes ? undefined : Buffer.concat(chunks))
+
   request.on('data', (chunk: Buffer) => {
     bytes += chunk.length
     if (bytes <= maxBytes) chunks.push(chunk)
   })
   // A request that breaks off never ends; its connection is gone then.
-  request.once('end', () => onBody(bytes > maxBytes ? undefined : Buffer.concat(chunks)))
+  request.once('end', () => {
+    isWhole = true
+    tell()
+  })
+  return {
+    onWhole: (taken) => {
+      listener = taken
+      if (isWhole) tell()
+    }
+  }
 }
 
 function headBytes (request: IncomingMessage): number {
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReportCalls.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReportCalls.ts
@@ -7,6 +7,7 @@
 import type { Clock } from 'bendfall-node'
 import type { EngineReport, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import { createConnectionPool } from '../replica/BendfallEdgeConnections.js'
+import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
 import { startOwnCall } from '../replica/BendfallEdgeOwnCall.js'
 
 /** A report later than this is a failure. */
@@ -27,12 +28,21 @@
   readonly isRepeat: boolean
 }
 
+/** Kept connections, and what was read on them. */
+interface ReportSource {
+  readonly pool: ConnectionPool
+  readonly bodies: Set<string>
+}
+
 /** Reports of a replica. */
 export interface ReportCalls {
   /** @returns the report; undefined when there is none in time, or none that can be read */
   readonly read: () => Promise<ReadReport | undefined>
-  /** Goes on over a new connection, whose first answer is a second one to nothing. */
-  readonly renew: () => void
+  /**
+   * Asks over a new connection, whose first answer is a second one to nothing, and goes on
+   * with it; with the former one where that gives no report.
+   */
+  readonly readAnew: () => Promise<ReadReport | undefined>
   readonly close: () => void
 }
 
@@ -46,39 +56,55 @@
  * @returns the calls
  */
 export function createReportCalls (address: string, dialect: ReplicaDialect, clock: Clock): ReportCalls {
-  const bodies = new Set<string>()
-  let pool = createConnectionPool(address, () => {})
+  let source = openSource(address)
   let asked = 0
+  let isClosed = false
 
-  function renew (): void {
-    pool.destroy()
-    pool = createConnectionPool(address, () => {})
-    bodies.clear()
-  }
-
-  function noteBody (body: Buffer): boolean {
+  function toReport (bodies: Set<string>, status: number, body: Buffer): ReadReport | undefined {
     const text = body.toString('latin1')
     const isRepeat = bodies.has(text)
     bodies.add(text)
-    return isRepeat
-  }
-
-  function toReport (status: number, body: Buffer): ReadReport | undefined {
-    const isRepeat = noteBody(body)
     const report = status === OK_STATUS ? dialect.readReport(body).unwrapOr(undefined) : undefined
     return report === undefined ? undefined : { report, isRepeat }
   }
 
-  function read (): Promise<ReadReport | undefined> {
-    if (bodies.size >= MOST_REMEMBERED) renew()
+  function ask ({ bodies, pool }: ReportSource): Promise<ReadReport | undefined> {
     asked += 1
     const request = { ...dialect.report, headers: [], requestId: `report-${asked}` }
     return new Promise((resolve) => {
       startOwnCall(pool, request, { clock, timeoutMs: REPORT_TIMEOUT_MS, maxBytes: REPORT_BYTES }, (answer) => {
-        resolve(answer.type === 'answered' ? toReport(answer.status, answer.body) : undefined)
+        resolve(answer.type === 'answered' ? toReport(bodies, answer.status, answer.body) : undefined)
       })
     })
   }
 
-  return { read, renew, close: () => pool.destroy() }
+  // A replica that is full takes no new connection; the one that it has must not be given
+  // up for it: of 20 reports asked so 18 failed, and the replica counted as lost.
+  async function readAnew (): Promise<ReadReport | undefined> {
+    const next = openSource(address)
+    const read = await ask(next)
+    if (read === undefined || isClosed) {
+      next.pool.destroy()
+      return undefined
+    }
+    source.pool.destroy()
+    source = next
+    return read
+  }
+
+  async function read (): Promise<ReadReport | undefined> {
+    const renewed = source.bodies.size >= MOST_REMEMBERED ? await readAnew() : undefined
+    return renewed ?? await ask(source)
+  }
+
+  function close (): void {
+    isClosed = true
+    source.pool.destroy()
+  }
+
+  return { read, readAnew, close }
+}
+
+function openSource (address: string): ReportSource {
+  return { pool: createConnectionPool(address, () => {}), bodies: new Set() }
 }
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
@@ -73,14 +73,16 @@
     loop.dispatch({ type: 'report_read', report, askedAtMs })
   }
 
+  async function readReport (): Promise<ReadReport | undefined> {
+    const read = await calls.read()
+    if (read === undefined || !mayMislead(state(), read)) return read
+    return await calls.readAnew() ?? read
+  }
+
   async function follow (): Promise<void> {
     while (!ended.signal.aborted) {
       const askedAtMs = clock.nowMs()
-      const read = await calls.read()
-      if (read !== undefined && mayMislead(state(), read)) {
-        calls.renew()
-        continue
-      }
+      const read = await readReport()
       if (read === undefined) noteFailure()
       else noteReport(read.report, askedAtMs)
       await wanted.wait(periodOf(state(), askedAtMs), ended.signal)
