Failing test: joined heads whose reason phrase arrives in several pieces

The HTTP client replaces the reason phrase with each piece of it that arrives, so that a start line within one that came byte by byte is not seen.

--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersJoinedHead.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersJoinedHead.test.ts
@@ -29,4 +29,16 @@
   }
 }
 
+// The client tells only the last piece of a reason phrase that arrives in several.
+for (const [former, next] of [[200, 500], [500, 200]] as const) {
+  test(`an answer ${next} that comes byte by byte behind a status line that was broken off in an answer ${former} keeps its status`, async () => {
+    const scriptOf = ({ requestId }: ScriptedRequest): object => (requestId === 'former' ? { status: former, double: IN_STATUS_LINE } : { status: next, bodyBytes: 0, write: 'bytes' })
+    await onAnswersStage({ replicaIds: ['i-x'], scriptOf }, async ({ broken, call }) => {
+      await call('booking', 'former')
+      await call('booking', 'next')
+      assert.equal(broken(), [])
+    })
+  })
+}
+
 test.run()
