See a joined start line also when it comes in pieces

Cause: the HTTP client keeps the last piece of a status text only, so that a broken-off start line before the right one was not seen when that came byte by byte: a 500 was delivered as 200. Change: the socket to the replica keeps the first line of each answer as it came.

--- a/packages/bendfall-edge/src/replica/BendfallEdgeAnswerIdentity.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeAnswerIdentity.ts
@@ -52,9 +52,9 @@
   const { requestId } = request
   const call = startReplicaCall(pool, request, {
     ...listener,
-    onHead: (status, headers, statusText) => {
+    onHead: (status, headers, startLine) => {
       const head = dialect.readAnswerHead(status, headers)
-      const foreign = isJoined(headers, statusText) ? 'heads of two answers in one' : describeForeign(requestId, head)
+      const foreign = isJoined(headers, startLine) ? 'heads of two answers in one' : describeForeign(requestId, head)
       if (foreign === undefined) return listener.onHead(status, headers, head)
       call.abort()
       onGarbled(requestId, foreign)
@@ -65,9 +65,10 @@
 }
 
 // A second answer that broke off within its head is continued by the answer behind it: the
-// status is of the one, the id of the other. The second start line is then in a value.
-function isJoined (headers: IncomingHttpHeaders, statusText: string): boolean {
-  if (START_LINE.test(statusText)) return true
+// status is of the one, the id of the other. The second start line is then in the first one
+// or in a value.
+function isJoined (headers: IncomingHttpHeaders, startLine: string): boolean {
+  if (START_LINE.test(startLine.slice(1))) return true
   return Object.values(headers).flat().some((value) => value !== undefined && START_LINE.test(value))
 }
 
--- a/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
@@ -4,11 +4,10 @@
  *
  * @module
  */
-import type { Socket } from 'node:net'
 import type { ConnectionEnd } from 'bendfall-platform'
 import { Client } from 'undici'
 import { connectReplica } from './BendfallEdgeReplicaSocket.js'
-import type { ConnectCallback } from './BendfallEdgeReplicaSocket.js'
+import type { ConnectCallback, ReplicaSocket } from './BendfallEdgeReplicaSocket.js'
 
 /** Idle time after which a connection is closed when the replica does not tell its own. */
 const IDLE_CLOSE_MS = 8_000
@@ -39,6 +38,10 @@
   readonly requestIds?: Set<string>
   /** Bytes that came on it so far. */
   readonly bytesRead: () => number
+  /** Keeps the first line of the next answer anew. */
+  readonly awaitAnswer: () => void
+  /** @returns what came of that line */
+  readonly startLine: () => string
 }
 
 /** A connection that waits for its next request. */
@@ -76,7 +79,7 @@
   const all = new Set<Client>()
 
   function open (requestIds?: Set<string>): Connection {
-    let socket: Socket | undefined
+    let socket: ReplicaSocket | undefined
     let end: ConnectionEnd | undefined
     let tellEnding = (): void => {}
     const onEnd = (ended: ConnectionEnd): void => {
@@ -102,7 +105,7 @@
       maxHeaderSize: MAX_HEAD_BYTES
     })
     all.add(client)
-    return { client, end: () => end, onEnding: (listener) => { tellEnding = listener }, requestIds, bytesRead: () => socket?.bytesRead ?? 0 }
+    return { client, end: () => end, onEnding: (listener) => { tellEnding = listener }, requestIds, bytesRead: () => socket?.bytesRead ?? 0, awaitAnswer: () => socket?.awaitAnswer(), startLine: () => socket?.startLine() ?? '' }
   }
 
   function takeIdle (requestId: string): Connection | undefined {
@@ -120,6 +123,7 @@
     if (requestId === undefined) return open()
     const connection = takeIdle(requestId) ?? open(new Set())
     connection.requestIds?.add(requestId)
+    connection.awaitAnswer()
     return connection
   }
 
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -25,7 +25,8 @@
 
 /** Takes what comes of a call; after `onEnd` or `onFail` nothing more comes. */
 export interface ReplicaCallListener {
-  readonly onHead: (status: number, headers: IncomingHttpHeaders, statusText: string) => void
+  /** @param startLine - first line of the answer as it came */
+  readonly onHead: (status: number, headers: IncomingHttpHeaders, startLine: string) => void
   readonly onChunk: (chunk: Buffer) => void
   /** @param framing - what told the end of the answer */
   readonly onEnd: (framing: AnswerFraming) => void
@@ -77,10 +78,10 @@
       controller = started
       if (isOver) started.abort(new Error('given up'))
     },
-    onResponseStart: (_, status, headers, statusText = '') => {
+    onResponseStart: (_, status, headers) => {
       if (isOver || status < FIRST_FINAL_STATUS) return
       framing = framingOf(request.method, status, headers)
-      listener.onHead(status, headers, statusText)
+      listener.onHead(status, headers, connection.startLine())
     },
     onResponseData: (_, chunk) => {
       if (!isOver) listener.onChunk(chunk)
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
@@ -41,11 +41,42 @@
 }
 
 /** Takes the socket, or why there is none. */
-export type ConnectCallback = (...result: readonly [null, Socket] | readonly [Error, null]) => void
+export type ConnectCallback = (...result: readonly [null, ReplicaSocket] | readonly [Error, null]) => void
 
-// A reset becomes an error of our own: on the system's code for it the client would take
-// what it has for the whole answer, and fail if its parser is paused.
-class ReplicaSocket extends Socket {
+/** Longest start line that is kept: a status and its reason. */
+const START_LINE_BYTES = 256
+
+const LINE_FEED = 0x0a
+
+/** A socket to a replica. */
+export class ReplicaSocket extends Socket {
+  readonly #startLine: Buffer[] = []
+  #isStartLineRead = false
+
+  /** Keeps the start line of the next answer anew. */
+  awaitAnswer (): void {
+    this.#startLine.length = 0
+    this.#isStartLineRead = false
+  }
+
+  /** @returns what came of the first line of the answer; the client keeps its last piece only */
+  startLine (): string {
+    return Buffer.concat(this.#startLine).toString('latin1')
+  }
+
+  override push (chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (!this.#isStartLineRead && Buffer.isBuffer(chunk)) this.#keepStartLine(chunk)
+    return super.push(chunk, encoding)
+  }
+
+  #keepStartLine (chunk: Buffer): void {
+    const end = chunk.indexOf(LINE_FEED)
+    this.#startLine.push(Buffer.from(chunk.subarray(0, end === -1 ? START_LINE_BYTES : Math.min(end, START_LINE_BYTES))))
+    this.#isStartLineRead = end !== -1 || this.#startLine.length >= START_LINE_BYTES
+  }
+
+  // A reset becomes an error of our own: on the system's code for it the client would take
+  // what it has for the whole answer, and fail if its parser is paused.
   override _destroy (error: Error | null, callback: (error?: Error | null) => void): void {
     super._destroy(isReset(error) ? new ConnectionResetError('connection reset', { cause: error }) : error, callback)
   }
