Soak: the store comes back from older copies

A plan of its own (--drills), so that the draws of former seeds stay as they were. Owners write again within two seconds.

--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -9,7 +9,7 @@
 import type { Draw } from '../../BendfallFakesClusterFaults.js'
 import { call, findWrongAnswer } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
-import { ALL_FAULTS, inflict, LEAVING_FAULTS } from './BendfallFakesSoakFaults.js'
+import { ALL_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS } from './BendfallFakesSoakFaults.js'
 import { SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet } from './BendfallFakesSoakFleet.js'
 
@@ -61,14 +61,15 @@
  *
  * @param seed - of faults and callers
  * @param seconds - time under faults
+ * @param hasDrills - whether the store comes back from older copies
  * @returns what was seen
  */
-export async function soakFleet (seed: number, seconds: number): Promise<SoakResult> {
+export async function soakFleet (seed: number, seconds: number, hasDrills = false): Promise<SoakResult> {
   const fleet = await startSoakFleet()
   const records: CallRecord[] = []
   const faults: SoakFault[] = []
   // In a third of the seeds no fault excuses a late send to a replica that leaves.
-  const names = seed % LEAVING_EVERY === 0 ? LEAVING_FAULTS : ALL_FAULTS
+  const names = hasDrills ? DRILL_FAULTS : seed % LEAVING_EVERY === 0 ? LEAVING_FAULTS : ALL_FAULTS
   try {
     await untilServed(fleet, seed)
     const endsAtMs = performance.now() + seconds * 1_000
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
@@ -1,17 +1,18 @@
 /**
- * Command line of the soak: `npm run soak:fleet -- --seeds 1-50 --seconds 8`.
+ * Command line of the soak: `npm run soak:fleet -- --seeds 1-50 --seconds 8`, with
+ * `--drills` for a store that comes back from older copies.
  *
  * @module
  */
 import { parseArgs } from 'node:util'
 import { soakFleet } from './BendfallFakesFleetSoak.js'
 
-const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1-5' }, seconds: { type: 'string', default: '8' } } })
+const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1-5' }, seconds: { type: 'string', default: '8' }, drills: { type: 'boolean', default: false } } })
 const [first = 1, last = first] = values.seeds.split('-').map(Number)
 
 let failed = 0
 for (let seed = first; seed <= last; seed++) {
-  const { answered, calls, evidence, faults, refused, violations } = await soakFleet(seed, Number(values.seconds))
+  const { answered, calls, evidence, faults, refused, violations } = await soakFleet(seed, Number(values.seconds), values.drills)
   console.log(`seed ${seed}: ${calls} calls, ${answered} answered, ${refused} refused as not run, ${faults.length} faults, ${violations.length} violations`)
   for (const violation of violations) console.log(`  ${violation}`)
   if (violations.length === 0) continue
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -24,6 +24,12 @@
   () => ({ service: 'app', address: 'nowhere', zone: 'a', version: 'v1', slots: 6, state: 'ready', 'cold-remaining-ms': 0, seq: 1 })
 ]
 
+/** Age of the copy from which the store comes back. */
+const COPY_AGE_MS = [300, 1_500, 4_000] as const
+
+/** Owners that live write again within this time after a restore; what they don't write lapses. */
+const WRITTEN_AGAIN_MS = 2_000
+
 type Inflict = (fleet: SoakFleet, draw: Draw) => Promise<string>
 
 const FAULTS: Readonly<Record<string, Inflict>> = {
@@ -103,6 +109,15 @@
     fleet.store.compact()
     return 'store'
   },
+  store_restored: async ({ configure, models, plain, store }, draw) => {
+    const copyAgeMs = draw(COPY_AGE_MS)
+    await store.restore({ copyAgeMs, awayMs: draw(FAULT_MS) })
+    for (const write of [configure, ...[...models, ...plain].map(({ writeAgain }) => writeAgain)]) {
+      await sleep(draw([0, WRITTEN_AGAIN_MS / 10]))
+      write()
+    }
+    return `store, a copy of ${copyAgeMs} ms before`
+  },
   terminate: async (fleet, draw) => {
     const node = draw(fleet.nodes)
     await end(node, 'SIGTERM', draw)
@@ -110,8 +125,13 @@
   }
 }
 
-/** Names of all faults. */
-export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS)
+const DRILL = 'store_restored'
+
+/** Names of all faults but the drill, by which former seeds drew. */
+export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS).filter((name) => name !== DRILL)
+
+/** Drills in which the store comes back from a copy, also twice in a row, among replicas that leave and entries that pause. */
+export const DRILL_FAULTS: readonly string[] = [DRILL, DRILL, 'leave', 'leave', 'pause', 'reset', 'restart', 'silence', 'store_fails']
 
 /** Faults that excuse no entry from knowing what leaves. */
 export const LEAVING_FAULTS: readonly string[] = ['foreign', 'leave', 'leave', 'reset', 'restart', 'silence']
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -46,9 +46,14 @@
   readonly proxy: FleetProxy
   readonly replicaId: string
   /** Writes its registration; `none` removes it. */
-  readonly register: (state: 'ready' | 'draining' | 'none') => void
+  readonly register: (state: RegisteredState) => void
+  /** Writes its registration again as it last was, as its owner does after a restore. */
+  readonly writeAgain: () => void
 }
 
+/** How a replica is registered. */
+export type RegisteredState = 'ready' | 'draining' | 'none'
+
 /** Time in which a replica had said that it leaves, or was no longer registered. */
 export interface Absence {
   readonly replica: FleetReplica
@@ -59,6 +64,8 @@
 
 /** The fleet. */
 export interface SoakFleet {
+  /** Writes the configuration, as the operator does. */
+  readonly configure: () => void
   readonly away: Absence[]
   readonly store: FleetStore
   readonly storeProxy: FleetProxy
@@ -100,7 +107,8 @@
   for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(store, ip(11 + index), `m${index}`, stage))
   const plain = [await startReplica(store, ip(21), 'a0'), await startReplica(store, ip(22), 'a1'), await startReplica(store, ip(23), 'a2')]
   for (const one of [...models, ...plain]) one.register('ready')
-  store.put('op/config', CONFIG)
+  const configure = (): void => store.put('op/config', CONFIG)
+  configure()
   const shared = { availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4 }
   const entryIps = [ip(2), ip(3)]
   const nodes = [
@@ -109,6 +117,7 @@
   ]
   return {
     away: [],
+    configure,
     store,
     storeProxy,
     models,
@@ -136,16 +145,14 @@
   const proxy = await startFleetProxy(replica.address)
   const key = `servers/${replicaId}`
   let seq = 0
-  return {
-    replica,
-    proxy,
-    replicaId,
-    register: (state) => {
-      if (state === 'none') return store.remove(key)
-      seq += 1
-      store.put(key, { born: replica.startedAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: 'v1', slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
-    }
+  let registered: RegisteredState = 'none'
+  function register (state: RegisteredState): void {
+    registered = state
+    if (state === 'none') return store.remove(key)
+    seq += 1
+    store.put(key, { born: replica.startedAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: 'v1', slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
   }
+  return { replica, proxy, replicaId, register, writeAgain: () => register(registered) }
 }
 
 async function startNode (folder: string, role: 'entry' | 'sidecar', settings: EdgeSettings): Promise<SoakNode> {
