--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
@@ -1,13 +1,14 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { Clock } from 'bendfall-node'
-import type { KeyValueEntry, KeyValuePort, ListOutcome, WatchOutcome } from 'bendfall-platform'
+import type { EraChange, KeyValueEntry, KeyValuePort, ListOutcome, WatchOutcome } from 'bendfall-platform'
 import { followPrefix } from '../../directory/BendfallEdgeFollow.js'
 
 const entry = (key: string): KeyValueEntry => ({ key, value: 'v', revision: 1, leaseId: '' })
 
 /** Virtual time and a service that answers from a script. */
-function createScene (script: { readonly lists: ListOutcome[], readonly watches: Array<{ readonly afterMs: number, readonly outcome: WatchOutcome }>, readonly asked?: Array<{ readonly waitMs: number, readonly slackMs: number }> }): {
+function createScene (script: { readonly lists: ListOutcome[], readonly watches: Array<{ readonly afterMs: number, readonly outcome: WatchOutcome }>, readonly asked?: Array<{ readonly waitMs: number, readonly slackMs: number }>, readonly hasEras?: boolean }): {
+  readonly beginEra: () => void
   readonly seen: string[]
   readonly run: (untilMs: number) => Promise<void>
   readonly close: () => void
@@ -25,7 +26,13 @@
   }
   const after = <T>(ms: number, value: T): Promise<T> => new Promise((resolve) => { clock.callAt(nowMs + ms, () => resolve(value)) })
   const seen: string[] = []
+  const eraListeners = new Set<(change: EraChange) => void>()
+  const onEra = (listener: (change: EraChange) => void): (() => void) => {
+    eraListeners.add(listener)
+    return () => { eraListeners.delete(listener) }
+  }
   const port = {
+    ...(script.hasEras === true ? { onEra } : {}),
     list: () => after(4, script.lists.shift() ?? { type: 'unavailable' as const, detail: 'end of script' }),
     watch: (_prefix: string, _revision: number, waitMs: number, slackMs: number) => {
       script.asked?.push({ waitMs, slackMs })
@@ -57,7 +64,7 @@
       next.callback()
     }
   }
-  return { seen, run, close }
+  return { seen, run, close, beginEra: () => { for (const listener of eraListeners) listener({ era: 2, formerEra: 1 }) } }
 }
 
 const listed = (...keys: string[]): ListOutcome => ({ type: 'listed', entries: keys.map(entry), storeRevision: 5 })
@@ -70,6 +77,22 @@
   scene.close()
 })
 
+// Its revision may have been given out again, so that a watch would miss what came before it.
+test('with a new era all is read again, and what the copy lacks is missing until it could be written again', async () => {
+  const scene = createScene({
+    lists: [listed('a', 'b', 'c'), listed('a', 'b'), listed('a', 'b', 'c'), listed('a', 'b', 'c')],
+    watches: [{ afterMs: 100, outcome: { type: 'unchanged', storeRevision: 6 } }, { afterMs: 100, outcome: { type: 'unchanged', storeRevision: 6 } }, { afterMs: 2_000, outcome: { type: 'unchanged', storeRevision: 6 } }, { afterMs: 2_000, outcome: { type: 'unchanged', storeRevision: 6 } }],
+    hasEras: true
+  })
+  await scene.run(50)
+  scene.beginEra()
+  await scene.run(150)
+  assert.equal(scene.seen, ['+a,b,c', '+a,b', '?c'])
+  await scene.run(2_700)
+  assert.equal(scene.seen, ['+a,b,c', '+a,b', '?c', '+a,b,c'])
+  scene.close()
+})
+
 test('an entry that lapsed in an outage is kept until it could be back', async () => {
   const scene = createScene({
     lists: [listed('a', 'b'), listed('b'), listed('a', 'b')],
