--- a/packages/bendfall-core/src/BendfallCoreEvents.ts
+++ b/packages/bendfall-core/src/BendfallCoreEvents.ts
@@ -123,7 +123,7 @@
   | Timed & { readonly type: 'engine_reported', readonly report: EngineReport }
   | Timed & { readonly type: 'engine_prefill_ended', readonly requestId: RequestId, readonly attempt: number, readonly result: { readonly type: 'done', readonly handle: string, readonly exportUrl: string, readonly kvBytes: number, readonly cachedTokens: number, readonly evictsInMs: number } | { readonly type: 'failed', readonly reason: RefusalReason } }
   | Timed & { readonly type: 'engine_import_progressed', readonly requestId: RequestId, readonly attempt: number, readonly transferredBytes: number }
-  | Timed & { readonly type: 'engine_import_ended', readonly requestId: RequestId, readonly attempt: number, readonly result: { readonly type: 'done' } | { readonly type: 'failed', readonly reason: RefusalReason, readonly kvLost: boolean } }
+  | Timed & { readonly type: 'engine_import_ended', readonly requestId: RequestId, readonly attempt: number, readonly result: { readonly type: 'done' } | { readonly type: 'failed', readonly reason: RefusalReason, readonly kvLost: boolean, /** The engine's words. */ readonly detail?: string } }
   | Timed & { readonly type: 'engine_tokens', readonly requestId: RequestId, readonly attempt: number, readonly index: number, readonly tokens: readonly string[] }
   | Timed & { readonly type: 'engine_decode_ended', readonly requestId: RequestId, readonly attempt: number, readonly result: { readonly type: 'finished', readonly tokenCount: number } | { readonly type: 'failed', readonly reason: RefusalReason } }
   | Timed & { readonly type: 'engine_cancelled', readonly requestId: RequestId, readonly attempt: number, readonly confirmed: boolean }
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { Effect } from '../BendfallCoreEffects.js'
 import type { Step } from '../BendfallCoreReducer.js'
 import type { State } from '../BendfallCoreState.js'
 import type { ModelName, RefusalReason } from '../BendfallCoreTypes.js'
@@ -52,7 +53,7 @@
  */
 export function retryLanguage (state: State, language: LanguageState, reason: RefusalReason, atMs: number): Step {
   const { request } = language
-  const failed = recordOf(request.requestId, 'attempt_failed', { reason, attempt: language.attempt, tokens: language.sentTokens.size })
+  const failed = recordFailed(state, language, reason, atMs)
   const detail = `attempt ${language.attempt} failed`
   const paid = language.attempt >= MAX_ATTEMPTS ? undefined : spendRetry(state, request.model)
   if (paid === undefined) {
@@ -70,6 +71,18 @@
   return andThen(begun, (after) => askDecode(after, next, atMs))
 }
 
+function recordFailed (state: State, language: LanguageState, reason: RefusalReason, atMs: number): Effect {
+  const { attempt, prefill, request, sentTokens } = language
+  const sentAtMs = prefill?.transfer?.sentAtMs
+  return recordOf(request.requestId, 'attempt_failed', {
+    reason,
+    attempt,
+    tokens: sentTokens.size,
+    retriesLeft: Math.floor(entryOf(state).retryBudgets.get(request.model)?.tokens ?? RETRY_BUDGET_MAX),
+    ...(sentAtMs !== undefined && { decodeSentBeforeMs: Math.round(atMs - sentAtMs) })
+  })
+}
+
 function nextAttempt (language: LanguageState, atMs: number): LanguageState {
   const { reservation, prefill, result, ...rest } = language
   const failedIds = reservation === undefined ? language.failedIds : [...language.failedIds, reservation.decodeId]
--- a/packages/bendfall-core/src/sidecar/BendfallCoreSidecarDecode.ts
+++ b/packages/bendfall-core/src/sidecar/BendfallCoreSidecarDecode.ts
@@ -105,15 +105,15 @@
   if (reservation?.decodeAsk === undefined) return
   clearTimer(update, 'transfer_progress', event.requestId)
   const { result } = event
-  recordTransfer(update, reservation, result.type === 'done' ? 'done' : result.reason)
+  recordTransfer(update, reservation, result.type === 'done' ? 'done' : result.reason, result.type === 'done' ? undefined : result.detail)
   if (result.type === 'failed') return giveUp(update, reservation, result.reason, result.kvLost)
   putReservation(update, { ...reservation, phase: 'decoding' })
   emit(update, { type: 'engine_decode', ask: reservation.decodeAsk })
   record(update, event.requestId, 'decode_started', { attempt: event.attempt })
 }
 
-function recordTransfer (update: SidecarUpdate, { ask, transferredBytes }: Reservation, result: string): void {
-  record(update, ask.requestId, 'transfer_ended', { attempt: ask.attempt, result, transferredBytes })
+function recordTransfer (update: SidecarUpdate, { ask, transferredBytes }: Reservation, result: string, detail?: string): void {
+  record(update, ask.requestId, 'transfer_ended', { attempt: ask.attempt, result, transferredBytes, ...(detail !== undefined && { detail }) })
 }
 
 function giveUp (update: SidecarUpdate, reservation: Reservation, reason: RefusalReason, kvLost: boolean): void {
--- a/packages/bendfall-fakes/src/__tests__/process/ClusterSuite.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/ClusterSuite.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu'
 import type { Test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { formatTimeline } from 'bendfall-node'
 import { judgeBooking, judgeChat } from '../../BendfallFakesClusterCalls.js'
 import type { CallVerdict } from '../../BendfallFakesClusterCalls.js'
 import { startCluster } from '../../BendfallFakesCluster.js'
@@ -12,6 +13,8 @@
 import { eventually } from '../../BendfallFakesClusterWait.js'
 import type { FleetPlan } from '../../BendfallFakesDemoSetup.js'
 
+const PRINTED_REQUESTS = 3
+
 export type ClusterTest = (name: string, run: (cluster: Cluster) => Promise<void>) => void
 
 /** Tests in one file share a cluster, and leave it as they found it. */
@@ -22,11 +25,25 @@
   tests.after(async () => { await cluster?.stop() })
   const test: ClusterTest = (title, run) => tests(title, async () => {
     if (cluster === undefined) throw new Error('the cluster did not start')
-    await run(cluster)
+    try {
+      await run(cluster)
+    } catch (error) {
+      await printUnanswered(cluster)
+      throw error
+    }
   })
   return { test, run: () => tests.run() }
 }
 
+/** Shows what all processes recorded of the requests that ended without an answer, the first few of them. */
+async function printUnanswered (cluster: Cluster): Promise<void> {
+  const events = await cluster.timeline()
+  const ends = events.filter(({ event, fields }) => event === 'request_ended' && fields.outcome !== 'answered')
+  for (const { subject } of ends.slice(0, PRINTED_REQUESTS)) {
+    console.log(formatTimeline(events.filter((event) => event.subject === subject)))
+  }
+}
+
 export interface OpenCall {
   /** Resolves with the first output; rejects when the call ends before it. */
   readonly output: Promise<void>
--- a/packages/bendfall-node/src/upstream/BendfallNodeEngine.ts
+++ b/packages/bendfall-node/src/upstream/BendfallNodeEngine.ts
@@ -136,7 +136,7 @@
 function importResult (outcome: EngineImportOutcome): EventOf<'engine_import_ended'>['result'] {
   if (outcome.type === 'done') return outcome
   const reason = outcome.kvLost ? 'prefill_lost' : 'upstream_failed'
-  return { type: 'failed', reason, kvLost: outcome.kvLost }
+  return { type: 'failed', reason, kvLost: outcome.kvLost, ...(outcome.detail !== '' && { detail: outcome.detail }) }
 }
 
 async function runDecode (parts: EngineParts, ask: DecodeAsk): Promise<void> {
