--- a/packages/bendfall-core/src/entry/BendfallCoreEntryHandlers.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryHandlers.ts
@@ -15,6 +15,7 @@
 import { loseLeases, renewLeases, resyncLeases } from './BendfallCoreEntryLeases.js'
 import { answerPrefill, clearPending } from './BendfallCoreEntryPrefill.js'
 import { answerReserve } from './BendfallCoreEntryReserve.js'
+import { pinResult } from './BendfallCoreEntryResult.js'
 
 type TimerHandler = (state: State, id: string, atMs: number) => Step
 
@@ -48,5 +49,6 @@
   reserve_replied: answerReserve,
   sidecar_disconnected: resyncLeases,
   timer_fired: fireTimer,
-  tokens_arrived: takeTokens
+  tokens_arrived: takeTokens,
+  transfer_progressed: pinResult
 }
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryResult.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryResult.ts
@@ -5,6 +5,8 @@
  * @module
  */
 import type { PrefillReply } from '../BendfallCoreMessages.js'
+import type { EventHandler } from '../BendfallCoreReducer.js'
+import { stay } from '../BendfallCoreReducer.js'
 import type { State } from '../BendfallCoreState.js'
 import type { InstanceId, RefusalReason } from '../BendfallCoreTypes.js'
 import { transferMs } from './BendfallCoreEntryEstimate.js'
@@ -12,6 +14,7 @@
 import { choosePrefill } from './BendfallCoreEntryPrefillChoice.js'
 import type { PrefillPlan } from './BendfallCoreEntryPrefillChoice.js'
 import type { LanguageState, PrefillResult } from './BendfallCoreEntryState.js'
+import { findLanguage, putLanguage } from './BendfallCoreEntryUpdate.js'
 
 /**
  * Reads the result out of the answer of a prefill replica.
@@ -23,12 +26,28 @@
  */
 export function resultOf (prefillId: InstanceId, reply: Extract<PrefillReply, { type: 'done' }>, atMs: number): PrefillResult {
   const { handle, exportUrl, kvBytes, cachedTokens, evictsInMs } = reply
-  return { prefillId, handle, exportUrl, kvBytes, cachedTokens, evictsInMs, evictsAtMs: atMs + evictsInMs }
+  const evictsAtMs = atMs + evictsInMs
+  return { prefillId, handle, exportUrl, kvBytes, cachedTokens, evictsInMs, evictsAtMs, promisedUntilMs: evictsAtMs, isPinned: false }
 }
 
 /**
- * Notes that a transfer of the result ended without success: it was pinned
- * meanwhile, and lives on for as long as when it was made.
+ * Notes that bytes of the result came in: its replica keeps it until the transfer ends.
+ *
+ * @param state - state of an entry
+ * @param event - progress of the transfer
+ * @returns the step; nothing for another attempt
+ */
+export const pinResult: EventHandler<'transfer_progressed'> = (state, event) => {
+  const language = findLanguage(state, event.requestId)
+  if (language?.result === undefined || language.result.isPinned || event.transferredBytes <= 0) return stay(state)
+  if (language.attempt !== event.attempt || language.reservation?.decodeId !== event.instanceId) return stay(state)
+  return stay(putLanguage(state, { ...language, result: { ...language.result, isPinned: true } }))
+}
+
+/**
+ * Notes that a transfer of the result ended without success. A result that was pinned is
+ * likely to live on for as long as when it was made. One that no byte was taken of is not:
+ * asked for again and again, it costs all attempts.
  *
  * @param language - the request
  * @param reason - why the transfer ended
@@ -37,10 +56,24 @@
  */
 export function unpinResult (language: LanguageState, reason: RefusalReason, atMs: number): LanguageState {
   if (language.result === undefined) return language
-  const { stalledAtId, ...result } = language.result
+  const { stalledAtId, isPinned, ...result } = language.result
+  const evictsAtMs = isPinned ? atMs + result.evictsInMs : result.evictsAtMs
   const decodeId = language.reservation?.decodeId
   const isFirstStall = reason === 'transfer_stalled' && decodeId !== undefined && !language.failedIds.includes(decodeId)
-  return { ...language, result: { ...result, evictsAtMs: atMs + result.evictsInMs, ...(isFirstStall && { stalledAtId: decodeId }) } }
+  return { ...language, result: { ...result, evictsAtMs, isPinned: false, ...(isFirstStall && { stalledAtId: decodeId }) } }
+}
+
+/**
+ * Forgets a result that may be gone. Its replica promised no more than its first life, and
+ * the last attempt has no other to follow it.
+ *
+ * @param language - the request, in its last attempt
+ * @param atMs - monotonic time
+ * @returns the request, with the result only while its replica promised to keep it
+ */
+export function keepPromisedResult (language: LanguageState, atMs: number): LanguageState {
+  const isPromised = language.result !== undefined && atMs < language.result.promisedUntilMs
+  return isPromised ? language : withoutResult(language)
 }
 
 /**
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryState.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryState.ts
@@ -46,7 +46,12 @@
   readonly cachedTokens: number
   /** Life of the result when nobody fetches it. */
   readonly evictsInMs: number
+  /** Until when it is believed to live. */
   readonly evictsAtMs: number
+  /** Until when its replica promised to keep it. */
+  readonly promisedUntilMs: number
+  /** Whether bytes of it came in during the live attempt. */
+  readonly isPinned: boolean
   /** Decode replica whose memory becomes free again as its transfer stalled. */
   readonly stalledAtId?: InstanceId
 }
