--- a/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
@@ -26,6 +26,9 @@
   readonly unserved: number
   /** Longest time that a try was held before it was refused. */
   readonly longestRefusalMs: number
+  /** Prompts sent to be read, and those whose answer or timeout the entry took. */
+  readonly prefillsSent: number
+  readonly prefillsEnded: number
 }
 
 interface Run {
@@ -82,6 +85,8 @@
   private order = 0
   private seed: number
   private longestRefusalMs = 0
+  private prefillsSent = 0
+  private prefillsEnded = 0
 
   constructor (private readonly load: Load) {
     this.seed = load.seed ?? 11
@@ -109,7 +114,7 @@
     }
     const outcomes = [...this.callers.values()].map(({ outcome }) => outcome ?? 'unserved')
     const countOf = (outcome: string): number => outcomes.filter((one) => one === outcome).length
-    return { asked: outcomes.length, onTime: countOf('on_time'), late: countOf('late'), unserved: countOf('unserved'), longestRefusalMs: this.longestRefusalMs }
+    return { asked: outcomes.length, onTime: countOf('on_time'), late: countOf('late'), unserved: countOf('unserved'), longestRefusalMs: this.longestRefusalMs, prefillsSent: this.prefillsSent, prefillsEnded: this.prefillsEnded }
   }
 
   private planArrivals (count: number, fromMs: number): void {
@@ -200,9 +205,17 @@
 
   private prefill ({ attempt, key, replicaId, tryTimeoutMs }: RouterEffectOf<'send_prefill'>): void {
     const engine = this.engineAt(replicaId)
-    if (engine.isLost) return this.after(tryTimeoutMs, () => this.route({ type: 'try_timed_out', atMs: this.nowMs, key, attempt }))
+    this.prefillsSent += 1
+    if (engine.isLost) return this.after(tryTimeoutMs, () => this.endPrefill({ type: 'try_timed_out', atMs: this.nowMs, key, attempt }))
     engine.busyUntilMs = Math.max(this.nowMs, engine.busyUntilMs) + this.callerOf(key).promptTokens / PREFILL_TOKENS_PER_MS
-    this.at(engine.busyUntilMs + 2 * HOP_MS, () => this.route({ type: 'prefill_answered', atMs: this.nowMs, key, attempt, outcome: { type: 'read', handle: key } }))
+    this.at(engine.busyUntilMs + 2 * HOP_MS, () => this.endPrefill({ type: 'prefill_answered', atMs: this.nowMs, key, attempt, outcome: { type: 'read', handle: key } }))
+  }
+
+  private endPrefill (event: Extract<RouterEvent, { readonly type: 'prefill_answered' | 'try_timed_out' }>): void {
+    const request = this.entry.requests.get(event.key)
+    // A caller that left ended it as well.
+    if (request === undefined || (request.phase === 'prefill' && request.attempt === event.attempt)) this.prefillsEnded += 1
+    this.route(event)
   }
 
   private run ({ attempt, key, replicaId, source, tryTimeoutMs }: RouterEffectOf<'send_run'>): void {
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -19,7 +19,7 @@
 import { learnReadSpeed } from './BendfallRouterReading.js'
 import { startReserve, takeHoldAnswer, takeReserveAnswer } from './BendfallRouterReserve.js'
 import { startRun, takeRunAnswer, takeRunFailure, takeRunTimeout } from './BendfallRouterRun.js'
-import type { RequestState, RouterState } from './BendfallRouterState.js'
+import type { Phase, RequestState, RouterState } from './BendfallRouterState.js'
 import { noteStandstill, park, unpark } from './BendfallRouterStandstill.js'
 import { noteOverdue, noteUnanswered } from './BendfallRouterStalls.js'
 import { chooseSubset } from './BendfallRouterSubset.js'
@@ -57,14 +57,14 @@
     if (request !== undefined) endCancelled(context, request)
   },
   config_learned: (context, event) => learnConfig(context, event),
-  confirm_answered: (context, event) => withAttempt(context, event, (request) => takeConfirmAnswer(context, request, event.outcome)),
+  confirm_answered: (context, event) => inPhase(context, event, 'confirm', (request) => takeConfirmAnswer(context, request, event.outcome)),
   deadline_passed: (context, event) => {
     const request = context.state.requests.get(event.key)
     if (request === undefined) return
     noteUnanswered(context, request)
     advance(context, request, atDeadline(request))
   },
-  hold_answered: (context, event) => withAttempt(context, event, (request) => takeHoldAnswer(context, request, event.outcome)),
+  hold_answered: (context, event) => inPhase(context, event, 'hold', (request) => takeHoldAnswer(context, request, event.outcome)),
   ledger_lost: (context, event) => {
     const belief = context.state.replicas.get(event.replicaId)
     if (belief === undefined) return
@@ -85,9 +85,9 @@
   loads_answered: (context, event) => withAttempt(context, event, ({ afterLoads, phase }) =>
     phase === 'loads' && afterLoads !== undefined ? { type: afterLoads } : undefined),
   order_answered: takeOrderAnswer,
-  prefill_answered: (context, event) => withAttempt(context, event, (request) =>
+  prefill_answered: (context, event) => inPhase(context, event, 'prefill', (request) =>
     takePrefillAnswer(context, request, event.outcome, handleTtlMs(context.state, request))),
-  prefill_queue_answered: (context, event) => withAttempt(context, event, (request) => takeQueueAnswer(context, request, event.outcome)),
+  prefill_queue_answered: (context, event) => inPhase(context, event, 'queue', (request) => takeQueueAnswer(context, request, event.outcome)),
   replicas_missing: (context, event) => noteMissing(context, event.replicaIds),
   replicas_current: (context) => { context.state.replicasCurrentAtMs = context.nowMs },
   replicas_refreshed: (context) => { for (const { request, step } of unpark(context)) advance(context, request, { type: step }) },
@@ -100,7 +100,7 @@
     const admitted = admit(context, event)
     if (admitted !== undefined) advance(context, admitted.request, admitted.next)
   },
-  reserve_answered: (context, event) => withAttempt(context, event, (request) => takeReserveAnswer(context, request, event.outcome)),
+  reserve_answered: (context, event) => inPhase(context, event, 'reserve', (request) => takeReserveAnswer(context, request, event.outcome)),
   run_failed: (context, event) => withAttempt(context, event, (request) =>
     request.phase === 'plain' ? takePlainFailure(context, request, event.failure) : takeRunFailure(context, request, event)),
   stop_asked: (context, event) => { context.state.stop = { askedAtMs: event.atMs, killAtMs: event.atMs + event.graceMs } },
@@ -135,6 +135,12 @@
   advance(context, request, take(request))
 }
 
+// An answer to another call of the same attempt, such as an announcement that nobody waits
+// for, would have the request sent once more.
+function inPhase (context: RouterContext, event: { readonly key: string, readonly attempt: number }, phase: Phase, take: (request: RequestState) => NextStep): void {
+  withAttempt(context, event, (request) => request.phase === phase ? take(request) : undefined)
+}
+
 function advance (context: RouterContext, request: RequestState, first: NextStep): void {
   for (let next = first; next !== undefined;) {
     if (next.type === 'refuse') return endRefused(context, request, next.status, next.reason, next.retryAfterMs)
