--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPoolFleet.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPoolFleet.test.ts
@@ -131,7 +131,7 @@
 })
 
 function membersOf (prefills: number, decodes: number, away = 0): PoolMember[] {
-  return fleetOf(prefills, decodes).map(({ availabilityZone, replicaId, stage }, i) => ({ replicaId, availabilityZone, stage, isServing: i >= away }))
+  return fleetOf(prefills, decodes).map(({ availabilityZone, replicaId, stage }, i) => ({ replicaId, availabilityZone, stage, isServing: i >= away, isLeaving: false }))
 }
 
 test('one sick replica of 84 stops no change; five do', () => {
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { balancePools, confirmedIntent, digestPoolIntent } from '../../index.js'
@@ -8,7 +9,7 @@
 
 function membersOf (prefills: number, decodes: number): PoolMember[] {
   const make = (count: number, stage: 'prefill' | 'decode'): PoolMember[] =>
-    Array.from({ length: count }, (_, i) => ({ replicaId: `${stage}-${i}`, availabilityZone: i % 2 === 0 ? 'a' : 'b', stage, isServing: true }))
+    Array.from({ length: count }, (_, i) => ({ replicaId: `${stage}-${i}`, availabilityZone: i % 2 === 0 ? 'a' : 'b', stage, isServing: true, isLeaving: false }))
   return [...make(prefills, 'prefill'), ...make(decodes, 'decode')]
 }
 
@@ -55,6 +56,45 @@
   assert.equal(balancePools([{ ...prefill as PoolMember, isServing: false }, ...decodes], { prefill: 0, decode: 4 }, INTENT), [])
 })
 
+// Five of six language replicas leave, and the last one was a prefill replica: no order changed
+// it, and all text was refused until others came (212 refusals on one day). The pools were left
+// alone while fewer than two replicas serve, and one that drains still counted for its pool.
+test('the last replica left reads and writes', () => {
+  assert.equal(balancePools(membersOf(1, 0), { prefill: 0.2, decode: 0 }, INTENT), [{ replicaId: 'prefill-0', stage: 'decode' }])
+  assert.equal(balancePools(membersOf(0, 1), { prefill: 0, decode: 1 }, INTENT), [])
+})
+
+test('a replica that leaves counts for no pool', () => {
+  const [prefill, ...decodes] = membersOf(1, 5)
+  const leaving = decodes.map((member) => ({ ...member, isServing: false, isLeaving: true }))
+  assert.equal(balancePools([prefill as PoolMember, ...leaving], { prefill: 0, decode: 4 }, INTENT), [{ replicaId: 'prefill-0', stage: 'decode' }])
+  assert.equal(balancePools([...membersOf(2, 0), ...leaving], { prefill: 0, decode: 4 }, INTENT).map(({ stage }) => stage), ['decode'])
+  const last = decodes.map((member, i) => ({ ...member, isServing: i > 2, isLeaving: i <= 2 }))
+  assert.equal(balancePools(last, { prefill: 0, decode: 4 }, INTENT).map(({ stage }) => stage), ['prefill'])
+})
+
+test('of two decode replicas the only one that serves stays', () => {
+  assert.equal(balancePools(membersOf(0, 2).map((member, i) => ({ ...member, isServing: i === 0 })), { prefill: 0, decode: 1 }, INTENT), [])
+})
+
+test('a replica that comes back beside the last one makes a pool of two again', () => {
+  assert.equal(balancePools(membersOf(0, 2), { prefill: 0, decode: 1 }, INTENT).map(({ stage }) => stage), ['prefill'])
+  assert.equal(balancePools(membersOf(1, 1), { prefill: 0, decode: 1 }, INTENT), [])
+})
+
+// Whatever leaves and comes back, in whatever order: no fleet of which a replica serves is left
+// without a decode replica once the orders are carried out.
+test('the pools never leave decode without a replica that could have one', () => {
+  const states = fc.constantFrom('serving', 'sick', 'leaving', 'gone')
+  fc.assert(fc.property(fc.array(fc.record({ stage: fc.constantFrom('prefill' as const, 'decode' as const), state: states }), { maxLength: 8 }), (replicas) => {
+    const members = replicas.flatMap(({ stage, state }, i) => state === 'gone' ? [] : [{ replicaId: `r${i}`, availabilityZone: 'a', stage, isServing: state === 'serving', isLeaving: state === 'leaving' }])
+    const changes = balancePools(members, { prefill: 0, decode: 0 }, INTENT)
+    const stageAfter = ({ replicaId, stage }: PoolMember): string => changes.find((change) => change.replicaId === replicaId)?.stage ?? stage
+    const staying = members.filter(({ isLeaving }) => !isLeaving)
+    if (staying.some(({ isServing }) => isServing)) assert.ok(staying.some((member) => stageAfter(member) === 'decode'), JSON.stringify({ members, changes }))
+  }), { seed: 32, numRuns: 500 })
+})
+
 test('the confirmed bounds hold', () => {
   assert.equal(balancePools(membersOf(1, 9), { prefill: 0.1, decode: 9 }, INTENT), [])
 })
@@ -97,4 +137,16 @@
   assert.is.not(second?.type === 'order_stage' ? second.replicaId : ordered, ordered)
 })
 
+test('the last replica is ordered at once, also while an earlier order settles and by a holder that just took over', () => {
+  const replicas = [...['p1', 'p2', 'p3'].map((id) => replicaOf(id, 'prefill')), ...['d1', 'd2', 'd3'].map((id) => replicaOf(id, 'decode'))]
+  const world = createWorld([summaryRoute()], replicas)
+  for (const { replicaId, stage } of replicas) world.send({ type: 'load_learned', load: loadOf(replicaId, stage, 37_000) })
+  world.state.poolIntent = INTENT
+  assert.equal(typesOf(world.send({ type: 'balance_due', fence: 3 })), ['order_stage'], 'three of six are more than the usual share')
+  world.send({ type: 'replicas_changed', present: replicas.slice(1).map((replica) => ({ ...replica, isDraining: replica.replicaId !== 'p2' })), gone: ['p1'] })
+  const [order] = world.send({ type: 'balance_due', fence: 4 })
+  assert.equal(order?.type === 'order_stage' ? [order.replicaId, order.stage] : order, ['p2', 'decode'])
+  assert.equal(world.send({ type: 'balance_due', fence: 4 }), [], 'its change is under way')
+})
+
 test.run()
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -5,13 +5,13 @@
  * @module
  */
 import type { ReplicaLoad, ReplicaStage } from '../BendfallRouterTypes.js'
-import { balancePools } from '../pools/BendfallRouterPoolBalance.js'
+import { balancePools, refillPools } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolMember, PoolWork } from '../pools/BendfallRouterPoolBalance.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
-import type { ReplicaBelief } from './BendfallRouterState.js'
+import type { PoolOrder, ReplicaBelief } from './BendfallRouterState.js'
 
 /** Weight of the newest reading of the work: with two readings a second the last twelve seconds count, more than a burst lasts. */
 const WORK_WEIGHT = 0.04
@@ -34,6 +34,9 @@
 /** Time that a change takes when the configuration does not tell. */
 const FIRST_SWITCH_MS = 6_000
 
+/** After an order that changes nothing another one is given. */
+const REFUSED_ORDER_MS = 1_000
+
 /** An order whose answer was lost may be carried out this much later. */
 const LATE_ORDER_MS = 12_000
 
@@ -62,13 +65,18 @@
   askSome(context, beliefs)
   const measured = beliefs.filter(({ load, loadAtMs }) => load !== undefined && nowMs - loadAtMs < MEASURED_MS)
   const work = measure(context, service, beliefs, measured)
-  if (beliefs.length === 0 || (measured.length < beliefs.length * LEAST_MEASURED_SHARE && measured.length < ASKED_AT_ONCE)) return
-  if (!hasLostOrders(context, service) && nowMs < (state.nextOrderAtMs.get(service) ?? -Infinity)) return
-  const changes = balancePools(beliefs.map((belief) => toMember(context, belief)), work, intent)
+  const staying = beliefs.filter((belief) => !isLeaving(state, belief))
+  const known = measured.filter((belief) => staying.includes(belief))
+  if (staying.length === 0 || (known.length < staying.length * LEAST_MEASURED_SHARE && known.length < ASKED_AT_ONCE)) return
+  const members = beliefs.map((belief) => toMember(context, belief))
+  const former = state.poolOrders.get(service)
+  const isSettling = former !== undefined && nowMs < former.settledAtMs && !hasLostOrders(context, former)
+  const changes = isSettling ? refillPools(members).filter(({ stage }) => stage !== former.stage) : balancePools(members, work, intent)
+  const [first] = changes
+  if (first === undefined) return
   for (const change of changes) order(context, change.replicaId, change.stage, fence, work)
-  if (changes.length === 0) return
-  state.nextOrderAtMs.set(service, nowMs + (switchMs === 0 ? FIRST_SWITCH_MS : switchMs) + SETTLE_MS)
-  state.orderedReplicas.set(service, changes.map(({ replicaId }) => replicaId))
+  const settledAtMs = nowMs + (switchMs === 0 ? FIRST_SWITCH_MS : switchMs) + SETTLE_MS
+  state.poolOrders.set(service, { replicaIds: changes.map(({ replicaId }) => replicaId), stage: first.stage, settledAtMs })
 }
 
 // Those that were asked longest ago. A part of a large fleet tells as much of its pools
@@ -88,14 +96,16 @@
 export function takeOrderAnswer (context: RouterContext, event: RouterEventOf<'order_answered'>): void {
   const belief = context.state.replicas.get(event.replicaId)
   context.effects.push({ type: 'log', decision: 'order_answered', requestId: '', inputs: { replica: event.replicaId, outcome: event.outcome } })
-  if (belief !== undefined && event.outcome === 'unknown') context.state.nextOrderAtMs.set(belief.replica.service, context.nowMs + LATE_ORDER_MS)
+  const former = context.state.poolOrders.get(belief?.replica.service ?? '')
+  if (former === undefined) return
+  if (event.outcome === 'unknown') former.settledAtMs = context.nowMs + LATE_ORDER_MS
+  if (event.outcome === 'refused') former.settledAtMs = Math.min(former.settledAtMs, context.nowMs + REFUSED_ORDER_MS)
 }
 
 // A replica that leaves or is gone will not carry its order out: waiting for it left a
 // pool empty for 13 s on a day on which the only prefill replica was replaced.
-function hasLostOrders ({ state }: RouterContext, service: string): boolean {
-  const ordered = state.orderedReplicas.get(service) ?? []
-  return ordered.length > 0 && ordered.every((replicaId) => state.replicas.get(replicaId)?.replica.isDraining !== false)
+function hasLostOrders ({ state }: RouterContext, { replicaIds }: PoolOrder): boolean {
+  return replicaIds.every((replicaId) => state.replicas.get(replicaId)?.replica.isDraining !== false)
 }
 
 function order (context: RouterContext, replicaId: string, stage: 'prefill' | 'decode' | 'plain', fence: number, work: PoolWork): void {
@@ -112,7 +122,8 @@
     availabilityZone: replica.availabilityZone,
     stage: stageOf(belief),
     // One that was not asked yet counts as well.
-    isServing: load?.isHealthy !== false && !isLeaving(state, belief) && suspectUntilMs <= nowMs
+    isServing: load?.isHealthy !== false && !isLeaving(state, belief) && suspectUntilMs <= nowMs,
+    isLeaving: isLeaving(state, belief)
   }
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
@@ -31,7 +31,7 @@
 
 // The order ended with the process that had it.
 function forgetOrders ({ state }: RouterContext, { replicaId, service }: Replica): void {
-  if (state.orderedReplicas.get(service)?.includes(replicaId) === true) state.nextOrderAtMs.delete(service)
+  if (state.poolOrders.get(service)?.replicaIds.includes(replicaId) === true) state.poolOrders.delete(service)
 }
 
 // The send fails as one whose replica crashed: only what may run again does. The request
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -6,7 +6,7 @@
  */
 import { DEFAULT_DECISIONS } from '../BendfallRouterDecisions.js'
 import type { RouterDecisions } from '../BendfallRouterDecisions.js'
-import type { Prompt, Replica, ReplicaLoad, Route, RouterConfig } from '../BendfallRouterTypes.js'
+import type { Prompt, Replica, ReplicaLoad, ReplicaStage, Route, RouterConfig } from '../BendfallRouterTypes.js'
 import type { PoolWork } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import { DEFAULT_BUDGET_LIMITS } from './BendfallRouterBudget.js'
@@ -171,6 +171,15 @@
   ledgerDownUntilMs: number
 }
 
+/** Orders that were given together. */
+export interface PoolOrder {
+  readonly replicaIds: readonly string[]
+  /** Stage that they change to. */
+  readonly stage: ReplicaStage
+  /** Until when the pools are left alone, so that its effect is seen. */
+  settledAtMs: number
+}
+
 /** State of the entry. */
 export interface RouterState {
   /** Name of the instance of this process. */
@@ -212,10 +221,8 @@
   poolIntent?: PoolIntent
   /** Measured work of the pools, by service. */
   readonly poolWork: Map<string, PoolWork>
-  /** When a service's pools may be changed again. */
-  readonly nextOrderAtMs: Map<string, number>
-  /** Replicas that a service's last orders went to. */
-  readonly orderedReplicas: Map<string, readonly string[]>
+  /** Last orders for the pools, by service. */
+  readonly poolOrders: Map<string, PoolOrder>
   /** When the last event came. */
   lastEventAtMs: number
   /** Whether the process stood still and has not read the registrations since. */
@@ -262,8 +269,7 @@
     prefillMsPerToken: FIRST_PREFILL_MS_PER_TOKEN,
     inPlaceMsPerToken: FIRST_IN_PLACE_MS_PER_TOKEN,
     poolWork: new Map(),
-    nextOrderAtMs: new Map(),
-    orderedReplicas: new Map(),
+    poolOrders: new Map(),
     lastEventAtMs: -Infinity,
     isUnsure: false,
     seed
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -14,6 +14,8 @@
   readonly stage: ReplicaStage
   /** Whether it answers, isn't draining and isn't changing its stage. */
   readonly isServing: boolean
+  /** Whether it gets no new work any more. */
+  readonly isLeaving: boolean
 }
 
 /** Work of both pools, in replicas that it would keep busy; averages of the last seconds. */
@@ -66,10 +68,10 @@
  * @returns changes to order; empty when the pools are well or a change is under way
  */
 export function balancePools (members: readonly PoolMember[], work: PoolWork, intent: PoolIntent): StageChange[] {
+  const refill = refillPools(members)
+  if (refill.length > 0) return refill
   const serving = members.filter(({ isServing }) => isServing)
   if (serving.length < 2 * FEWEST) return []
-  const refill = emptyPool(members)
-  if (refill !== undefined) return pick(serving, 1).map(({ replicaId }) => ({ replicaId, stage: refill }))
   if (members.length - serving.length > Math.floor(members.length * AWAY_SHARE)) return []
   const prefills = serving.filter(({ stage }) => stage === 'prefill')
   const isIdle = work.prefill + work.decode < NO_WORK
@@ -82,13 +84,21 @@
   return pick(decodes, -surplus).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
 }
 
-// A pool that lost its last replica is refilled whatever the load: without work to
-// measure in it, the loads would never ask for one. On a day whose only prefill replica
-// was replaced, all prompts were read in place for 26 s, until the end.
-function emptyPool (members: readonly PoolMember[]): 'prefill' | 'decode' | undefined {
-  const stages = new Set(members.map(({ stage }) => stage))
-  if (!stages.has('decode')) return 'decode'
-  return stages.has('prefill') ? undefined : 'prefill'
+/**
+ * Refills a pool that lost its last replica, whatever the load: without work to measure in
+ * it, the loads would never ask for one. Decode goes first, since a decode replica reads
+ * prompts itself: the last replica left is one.
+ *
+ * @param members - model replicas of a service
+ * @returns the change to order; empty when no pool is empty or none can be refilled
+ */
+export function refillPools (members: readonly PoolMember[]): StageChange[] {
+  const staying = members.filter(({ isLeaving }) => !isLeaving)
+  const serving = staying.filter(({ isServing }) => isServing)
+  const has = (stage: ReplicaStage): boolean => staying.some((member) => member.stage === stage)
+  if (!has('decode')) return pick(serving, 1).map(({ replicaId }) => ({ replicaId, stage: 'decode' }))
+  if (has('prefill') || serving.length < 2 * FEWEST) return []
+  return pick(serving, 1).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
 }
 
 // Only for a clear gain.
--- a/packages/bendfallctl/src/BendfallctlPools.ts
+++ b/packages/bendfallctl/src/BendfallctlPools.ts
@@ -62,6 +62,6 @@
 
 function membersOf ({ decodes, prefills }: PoolCounts): PoolMember[] {
   const make = (count: number, stage: 'prefill' | 'decode'): PoolMember[] =>
-    Array.from({ length: count }, (_, index) => ({ replicaId: `${stage}-${index}`, availabilityZone: '', stage, isServing: true }))
+    Array.from({ length: count }, (_, index) => ({ replicaId: `${stage}-${index}`, availabilityZone: '', stage, isServing: true, isLeaving: false }))
   return [...make(prefills, 'prefill'), ...make(decodes, 'decode')]
 }
