--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterStandstill.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterStandstill.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createBudget } from '../../index.js'
 import { arrival, createWorld, modelWorld, only, plainRoute, replicaOf, summaryRoute, typesOf } from './RouterWorld.js'
 import type { RouterWorld } from './RouterWorld.js'
 
@@ -49,6 +50,49 @@
   assert.is(typesOf(world.send({ type: 'replicas_refreshed' })).filter((type) => type === 'send_prefill').length, 1)
 })
 
+// The result of a prefill lives 500 ms from when it was made. An entry that stood still between
+// its end and the reading of its answer counted from the reading, and had a result fetched that
+// was gone: the replica answers as if it had no memory, and the same result was tried again.
+const PREFILL_HANDLE = { type: 'read' as const, handle: 'h' }
+
+function readWorld (): { readonly world: RouterWorld, readonly attempt: number } {
+  const world = modelWorld()
+  const reserve = only(world.send(arrival('1')), 'reserve')
+  const effects = world.send({ type: 'reserve_answered', key: '1', attempt: reserve.attempt, outcome: { type: 'granted' } })
+  return { world, attempt: only(effects, 'send_prefill').attempt }
+}
+
+test('a result that was made before a standstill lives from before it', () => {
+  for (let frozenMs = 420; frozenMs <= 1_000; frozenMs += 20) {
+    const { world, attempt } = readWorld()
+    world.freeze(frozenMs)
+    const confirm = world.send({ type: 'prefill_answered', key: '1', attempt, outcome: PREFILL_HANDLE })
+    const sends = [...confirm, ...world.send({ type: 'confirm_answered', key: '1', attempt: attempt + 1, outcome: 'free' })]
+    const run = sends.find((effect) => effect.type === 'send_run')
+    assert.is(run === undefined, frozenMs >= 500, `sent after ${frozenMs} ms: ${typesOf(sends).join(' ')}`)
+    assert.is(typesOf(sends).includes('send_prefill'), frozenMs >= 500, 'read anew')
+  }
+})
+
+test('a result that lapsed while its request waited is read anew and counts against no replica', () => {
+  const { world, attempt } = readWorld()
+  const confirm = only(world.send({ type: 'prefill_answered', key: '1', attempt, outcome: PREFILL_HANDLE }), 'confirm')
+  for (let waitedMs = 0; waitedMs < 600; waitedMs += 100) world.wait(100)
+  const effects = world.send({ type: 'confirm_answered', key: '1', attempt: confirm.attempt, outcome: 'free' })
+  assert.equal(typesOf(effects).filter((type) => type.startsWith('send_')), ['send_prefill'])
+  for (const belief of world.state.replicas.values()) assert.equal([belief.consecutiveFailures, belief.failureShare], [0, 0])
+})
+
+test('a result that lapsed and can not be paid for again is refused as not run', () => {
+  const { world, attempt } = readWorld()
+  const confirm = only(world.send({ type: 'prefill_answered', key: '1', attempt, outcome: PREFILL_HANDLE }), 'confirm')
+  world.state.budgets.clear()
+  world.wait(600)
+  for (const [service, budget] of [['llm', createBudget(world.nowMs(), { ratio: 0, reserve: 0, windowMs: 10_000 })]] as const) world.state.budgets.set(service, budget)
+  const refuse = only(world.send({ type: 'confirm_answered', key: '1', attempt: confirm.attempt, outcome: 'free' }), 'refuse')
+  assert.is(refuse.status, 503)
+})
+
 test('a caller that leaves while its request waits is done with', () => {
   const world = plainWorld()
   world.freeze(2_000)
--- a/packages/bendfall-router/src/__tests__/unit/RouterWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/RouterWorld.ts
@@ -6,6 +6,7 @@
 /** An entry in virtual time. */
 export interface RouterWorld {
   readonly state: RouterState
+  readonly nowMs: () => number
   /** Lets time pass. */
   readonly wait: (ms: number) => void
   /** Lets time pass without an event, as in a process that stands still. */
@@ -84,7 +85,7 @@
   }
   send({ type: 'config_learned', config: configOf(1, routes) })
   send({ type: 'replicas_changed', present: replicas, gone: [] })
-  return { state, reduce, send, wait, freeze: (ms) => { nowMs += ms } }
+  return { state, nowMs: () => nowMs, reduce, send, wait, freeze: (ms) => { nowMs += ms } }
 }
 
 const MODELS = [replicaOf('p1', 'prefill'), replicaOf('d1', 'decode'), replicaOf('d2', 'decode')]
--- a/packages/bendfall-router/src/entry/BendfallRouterContext.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterContext.ts
@@ -13,6 +13,8 @@
 export interface RouterContext {
   readonly state: RouterState
   readonly nowMs: number
+  /** Time without an event before this one. */
+  readonly sinceLastEventMs: number
   readonly effects: RouterEffect[]
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -13,6 +13,7 @@
 import { backlogOf, planPrefill, PREFILL_CALL_MS } from './BendfallRouterPrefillPlan.js'
 import { takeRetry } from './BendfallRouterRetry.js'
 import { coverSends, noteRead, noteSendFailed, paySend, refuseUnpaid, sendPrefill } from './BendfallRouterSend.js'
+import { TICK_MS } from './BendfallRouterStandstill.js'
 import type { ReplicaBelief, RequestState } from './BendfallRouterState.js'
 
 /** Weight of the newest prefill in the learned speed. */
@@ -93,7 +94,7 @@
     learnSpeed(context, request, tookMs)
     learnPace(belief, tookMs, request.prefillLeadMs)
     noteSuccess(belief)
-    request.handle = { replicaId, startedAtMs: belief.replica.startedAtMs, address: belief.replica.address, handle: outcome.handle, expiresAtMs: context.nowMs + handleTtlMs }
+    request.handle = { replicaId, startedAtMs: belief.replica.startedAtMs, address: belief.replica.address, handle: outcome.handle, expiresAtMs: madeAtMs(context) + handleTtlMs }
   }
   leavePrefill(context, request)
   logDecision(context, request, 'prefill_done', { replica: replicaId, tookMs: Math.round(tookMs) })
@@ -127,6 +128,11 @@
   return coverSends(context, request, 1) ? { type: 'run' } : refuseUnpaid(request)
 }
 
+// Events come with each tick: after a longer pause the answer may have lain there for all of it.
+function madeAtMs ({ nowMs, sinceLastEventMs }: RouterContext): number {
+  return sinceLastEventMs > TICK_MS ? nowMs - sinceLastEventMs : nowMs
+}
+
 // The slot becomes the booking of the prompt if its replica reads it.
 function takePrefillSlot (context: RouterContext, request: RequestState, replicaId: string): string | undefined {
   const { prefillSlot } = request
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -124,7 +124,7 @@
  * @returns effects in the order in which they are carried out
  */
 export function reduceRouter (state: RouterState, event: RouterEvent): RouterEffect[] {
-  const context: RouterContext = { state, nowMs: event.atMs, effects: [] }
+  const context: RouterContext = { state, nowMs: event.atMs, sinceLastEventMs: event.atMs - state.lastEventAtMs, effects: [] }
   noteStandstill(context)
   const handle = HANDLERS[event.type] as Handler<RouterEvent['type']>
   handle(context, event)
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -11,9 +11,12 @@
 import { readInPlaceMs } from './BendfallRouterReading.js'
 import { noteRun } from './BendfallRouterRefusals.js'
 import { hasNotRun, mayRunAgain, takeRetry } from './BendfallRouterRetry.js'
-import { noteSendFailed, paySend, refuseUnpaid, sendRun } from './BendfallRouterSend.js'
+import { coverSends, noteSendFailed, paySend, refuseUnpaid, sendRun } from './BendfallRouterSend.js'
 import type { RequestState } from './BendfallRouterState.js'
 
+/** A second call that reads the prompt counts like the run. */
+const SENDS_TO_READ_AND_RUN = 2
+
 /** Told to callers whose request every replica refused. */
 const REFUSED_RETRY_MS = 600
 
@@ -39,6 +42,7 @@
     leaveReservation(context, request)
     return { type: 'reserve' }
   }
+  if (request.handle !== undefined && request.handle.expiresAtMs <= context.nowMs) return readAnew(context, request)
   const { address, replicaId } = belief.replica
   const { handle, hold } = request
   const payment = paySend(context, request)
@@ -62,6 +66,14 @@
   return undefined
 }
 
+// Sent with a result that is gone, it would be refused as if there were no memory, and be tried
+// with the same one elsewhere.
+function readAnew (context: RouterContext, request: RequestState): NextStep {
+  logDecision(context, request, 'result_lapsed', { replica: request.handle?.replicaId })
+  leaveHandle(context, request)
+  return coverSends(context, request, SENDS_TO_READ_AND_RUN) ? { type: 'prefill' } : refuseUnpaid(request)
+}
+
 function tryTimeoutOf ({ state }: RouterContext, request: RequestState, isRead: boolean): number | undefined {
   if (!mayRunAgain(request) || request.runs >= request.route.maxAttempts) return undefined
   return FIRST_EVENT_TIMEOUT_MS + (isRead ? 0 : READING_TIMEOUT_FACTOR * readInPlaceMs(state, request))
