--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
@@ -2,8 +2,9 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { balancePools, confirmedIntent, digestPoolIntent } from '../../index.js'
-import type { PoolMember } from '../../index.js'
+import type { PoolMember, Replica, RouterEffect } from '../../index.js'
 import { configOf, createWorld, loadOf, replicaOf, summaryRoute, typesOf } from './RouterWorld.js'
+import type { RouterWorld } from './RouterWorld.js'
 
 const INTENT = { usualPrefillShare: 0.25, leastPrefillShare: 0.1, leastPrefillReplicas: 1, mostPrefillShare: 0.5 }
 
@@ -137,6 +138,49 @@
   assert.is.not(second?.type === 'order_stage' ? second.replicaId : ordered, ordered)
 })
 
+/** Loads of six replicas with this share of their decode memory free, and prompts at the prefill replicas or none. */
+function learnLoads (world: RouterWorld, replicas: readonly Replica[], freeShare: number, backlogTokens: number): void {
+  for (const { replicaId, stage } of replicas) {
+    const load = loadOf(replicaId, stage, stage === 'decode' ? 37_000 * freeShare : 37_000)
+    world.send({ type: 'load_learned', load: { ...load, backlogTokens: stage === 'prefill' ? backlogTokens : 0 } })
+  }
+}
+
+function tick (world: RouterWorld, replicas: readonly Replica[], freeShare: number, backlogTokens: number): RouterEffect[] {
+  world.wait(500)
+  learnLoads(world, replicas, freeShare, backlogTokens)
+  return world.send({ type: 'balance_due', fence: 3 }).filter(({ type }) => type === 'order_stage')
+}
+
+function burstWorld (): { readonly world: RouterWorld, readonly replicas: readonly Replica[] } {
+  const replicas = [...['p1', 'p2', 'p3'].map((id) => replicaOf(id, 'prefill')), ...['d1', 'd2', 'd3'].map((id) => replicaOf(id, 'decode'))]
+  const world = createWorld([summaryRoute()], replicas)
+  world.state.poolIntent = INTENT
+  return { world, replicas }
+}
+
+// A holder that took over in a burst ordered a change 27 ms later, on its first reading of both
+// pools, and took it back after ten seconds: 0.41 to 0.48 instead of 0.54 of that day's worth.
+test('a holder that took over in a burst orders nothing before it has observed the work', () => {
+  const { replicas, world } = burstWorld()
+  for (let passedMs = 500; passedMs <= 4_000; passedMs += 500) assert.equal(tick(world, replicas, 0.02, 0), [], `after ${passedMs} ms`)
+  for (let passedMs = 4_500; passedMs < 12_000; passedMs += 500) assert.equal(tick(world, replicas, 0.9, 0), [], 'the burst is over')
+})
+
+test('work that lasts is answered', () => {
+  const { replicas, world } = burstWorld()
+  const orders = Array.from({ length: 18 }, () => tick(world, replicas, 0.02, 0)).flat()
+  assert.equal(orders.map((order) => order.type === 'order_stage' && order.stage), ['decode'])
+})
+
+test('a change is not taken back by the next burst', () => {
+  const { replicas, world } = burstWorld()
+  for (let i = 0; i < 18; i++) tick(world, replicas, 0.02, 0)
+  const moved = replicas.map((replica) => replica.replicaId === 'p1' ? { ...replica, stage: 'decode' as const, revision: 2 } : replica)
+  world.send({ type: 'replicas_changed', present: moved, gone: [] })
+  for (let passedMs = 0; passedMs < 11_000; passedMs += 500) assert.equal(tick(world, moved, 0.9, 9_000), [], `after ${passedMs} ms`)
+})
+
 test('the last replica is ordered at once, also while an earlier order settles and by a holder that just took over', () => {
   const replicas = [...['p1', 'p2', 'p3'].map((id) => replicaOf(id, 'prefill')), ...['d1', 'd2', 'd3'].map((id) => replicaOf(id, 'decode'))]
   const world = createWorld([summaryRoute()], replicas)
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -5,20 +5,30 @@
  * @module
  */
 import type { ReplicaLoad, ReplicaStage } from '../BendfallRouterTypes.js'
-import { balancePools, refillPools } from '../pools/BendfallRouterPoolBalance.js'
-import type { PoolMember, PoolWork } from '../pools/BendfallRouterPoolBalance.js'
+import { balancePools, isIdle, refillPools } from '../pools/BendfallRouterPoolBalance.js'
+import type { PoolMember, StageChange } from '../pools/BendfallRouterPoolBalance.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
-import type { PoolOrder, ReplicaBelief } from './BendfallRouterState.js'
+import type { ObservedWork, PoolOrder, ReplicaBelief } from './BendfallRouterState.js'
 
 /** Weight of the newest reading of the work: with two readings a second the last twelve seconds count, more than a burst lasts. */
 const WORK_WEIGHT = 0.04
 
+/**
+ * Work is observed for this long before it asks for a change, by a holder that took over as
+ * well as after a change: a shorter look may see nothing but a burst, whose change the next
+ * look undoes.
+ */
+const LEAST_OBSERVED_MS = 8_000
+
 /** Replicas whose loads are asked at once: 24 calls a second, whatever the fleet. */
 const ASKED_AT_ONCE = 12
 
+/** A change is not taken back within this: it took a replica away for seconds, as would the next. */
+const LEAST_KEPT_MS = 20_000
+
 /** Loads are asked again after this; the work is an average of twelve seconds. */
 const ASK_AGAIN_MS = 450
 
@@ -64,19 +74,39 @@
   const beliefs = [...state.replicas.values()].filter(({ replica }) => replica.service === service && replica.stage !== 'plain')
   askSome(context, beliefs)
   const measured = beliefs.filter(({ load, loadAtMs }) => load !== undefined && nowMs - loadAtMs < MEASURED_MS)
-  const work = measure(context, service, beliefs, measured)
-  const staying = beliefs.filter((belief) => !isLeaving(state, belief))
-  const known = measured.filter((belief) => staying.includes(belief))
-  if (staying.length === 0 || (known.length < staying.length * LEAST_MEASURED_SHARE && known.length < ASKED_AT_ONCE)) return
-  const members = beliefs.map((belief) => toMember(context, belief))
-  const former = state.poolOrders.get(service)
-  const isSettling = former !== undefined && nowMs < former.settledAtMs && !hasLostOrders(context, former)
-  const changes = isSettling ? refillPools(members).filter(({ stage }) => stage !== former.stage) : balancePools(members, work, intent)
+  const observed = observe(context, service, beliefs, measured)
+  if (!areEnoughMeasured(context, beliefs, measured)) return
+  const changes = chooseChanges(context, service, beliefs, observed, intent)
   const [first] = changes
   if (first === undefined) return
-  for (const change of changes) order(context, change.replicaId, change.stage, fence, work)
+  for (const change of changes) order(context, change.replicaId, change.stage, fence, observed)
   const settledAtMs = nowMs + (switchMs === 0 ? FIRST_SWITCH_MS : switchMs) + SETTLE_MS
-  state.poolOrders.set(service, { replicaIds: changes.map(({ replicaId }) => replicaId), stage: first.stage, settledAtMs })
+  state.poolOrders.set(service, { replicaIds: changes.map(({ replicaId }) => replicaId), stage: first.stage, orderedAtMs: nowMs, settledAtMs })
+  state.poolWork.delete(service)
+}
+
+// The ledgers of those that leave may be gone before them.
+function areEnoughMeasured ({ state }: RouterContext, beliefs: readonly ReplicaBelief[], measured: readonly ReplicaBelief[]): boolean {
+  const staying = beliefs.filter((belief) => !isLeaving(state, belief)).length
+  const known = measured.filter((belief) => !isLeaving(state, belief)).length
+  return staying > 0 && (known >= staying * LEAST_MEASURED_SHARE || known >= ASKED_AT_ONCE)
+}
+
+// An empty pool does not wait for the work, nor for the effect of a change of the other one.
+function chooseChanges (context: RouterContext, service: string, beliefs: readonly ReplicaBelief[], observed: ObservedWork, intent: PoolIntent): StageChange[] {
+  const members = beliefs.map((belief) => toMember(context, belief))
+  const former = context.state.poolOrders.get(service)
+  const isSettling = former !== undefined && context.nowMs < former.settledAtMs && !hasLostOrders(context, former)
+  const refills = refillPools(members)
+  if (isSettling) return refills.filter(({ stage }) => stage !== former.stage)
+  return refills.length > 0 ? refills : balanceWork(context, members, observed, intent, former)
+}
+
+function balanceWork ({ nowMs }: RouterContext, members: readonly PoolMember[], { sinceMs, work }: ObservedWork, intent: PoolIntent, former: PoolOrder | undefined): StageChange[] {
+  if (!isIdle(work) && nowMs - sinceMs < LEAST_OBSERVED_MS) return []
+  const changes = balancePools(members, work, intent)
+  const isKept = former !== undefined && nowMs < former.orderedAtMs + LEAST_KEPT_MS
+  return isKept ? changes.filter(({ stage }) => stage === former.stage) : changes
 }
 
 // Those that were asked longest ago. A part of a large fleet tells as much of its pools
@@ -108,11 +138,11 @@
   return replicaIds.every((replicaId) => state.replicas.get(replicaId)?.replica.isDraining !== false)
 }
 
-function order (context: RouterContext, replicaId: string, stage: 'prefill' | 'decode' | 'plain', fence: number, work: PoolWork): void {
+function order (context: RouterContext, replicaId: string, stage: 'prefill' | 'decode' | 'plain', fence: number, { readings, work }: ObservedWork): void {
   const belief = context.state.replicas.get(replicaId)
   if (belief === undefined) return
   context.effects.push({ type: 'order_stage', replicaId, address: belief.replica.address, stage, fence })
-  context.effects.push({ type: 'log', decision: 'stage_ordered', requestId: '', inputs: { replica: replicaId, stage, fence, prefillWork: round(work.prefill), decodeWork: round(work.decode) } })
+  context.effects.push({ type: 'log', decision: 'stage_ordered', requestId: '', inputs: { replica: replicaId, stage, fence, prefillWork: round(work.prefill), decodeWork: round(work.decode), readings } })
 }
 
 function toMember ({ nowMs, state }: RouterContext, belief: ReplicaBelief): PoolMember {
@@ -127,16 +157,20 @@
   }
 }
 
-// The mean of those that were measured stands for all of their pool.
-function measure ({ state }: RouterContext, service: string, beliefs: readonly ReplicaBelief[], measured: readonly ReplicaBelief[]): PoolWork {
+// The mean of those that were measured stands for all of their pool. Until twelve seconds are
+// observed all readings count alike, so that the first one does not decide.
+function observe ({ nowMs, state }: RouterContext, service: string, beliefs: readonly ReplicaBelief[], measured: readonly ReplicaBelief[]): ObservedWork {
   const now = { prefill: meanWork(measured, 'prefill') * countOf(beliefs, 'prefill'), decode: meanWork(measured, 'decode') * countOf(beliefs, 'decode') }
-  const former = state.poolWork.get(service) ?? now
+  const former = state.poolWork.get(service) ?? { work: now, sinceMs: nowMs, readings: 0 }
+  const readings = former.readings + 1
+  const weight = Math.max(WORK_WEIGHT, 1 / readings)
   const work = {
-    prefill: former.prefill + WORK_WEIGHT * (now.prefill - former.prefill),
-    decode: former.decode + WORK_WEIGHT * (now.decode - former.decode)
+    prefill: former.work.prefill + weight * (now.prefill - former.work.prefill),
+    decode: former.work.decode + weight * (now.decode - former.work.decode)
   }
-  state.poolWork.set(service, work)
-  return work
+  const observed = { work, sinceMs: former.sinceMs, readings }
+  state.poolWork.set(service, observed)
+  return observed
 }
 
 function countOf (beliefs: readonly ReplicaBelief[], stage: ReplicaStage): number {
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -171,11 +171,20 @@
   ledgerDownUntilMs: number
 }
 
+/** Work of a service's pools, as its holder has seen it. */
+export interface ObservedWork {
+  readonly work: PoolWork
+  /** Begin of the observation: when the lease or the last change was new. */
+  readonly sinceMs: number
+  readonly readings: number
+}
+
 /** Orders that were given together. */
 export interface PoolOrder {
   readonly replicaIds: readonly string[]
   /** Stage that they change to. */
   readonly stage: ReplicaStage
+  readonly orderedAtMs: number
   /** Until when the pools are left alone, so that its effect is seen. */
   settledAtMs: number
 }
@@ -220,7 +229,7 @@
   /** What operators confirmed for the pools; absent: they stay as they are. */
   poolIntent?: PoolIntent
   /** Measured work of the pools, by service. */
-  readonly poolWork: Map<string, PoolWork>
+  readonly poolWork: Map<string, ObservedWork>
   /** Last orders for the pools, by service. */
   readonly poolOrders: Map<string, PoolOrder>
   /** When the last event came. */
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -74,9 +74,8 @@
   if (serving.length < 2 * FEWEST) return []
   if (members.length - serving.length > Math.floor(members.length * AWAY_SHARE)) return []
   const prefills = serving.filter(({ stage }) => stage === 'prefill')
-  const isIdle = work.prefill + work.decode < NO_WORK
   // Rounded down: decode replicas can read prompts themselves, and nothing stands in for their memory.
-  const goal = isIdle ? clampPrefills(Math.floor(serving.length * intent.usualPrefillShare), serving.length, intent) : goalUnderLoad(prefills.length, serving.length, work, intent)
+  const goal = isIdle(work) ? clampPrefills(Math.floor(serving.length * intent.usualPrefillShare), serving.length, intent) : goalUnderLoad(prefills.length, serving.length, work, intent)
   const aim = stepTowards(prefills.length, goal, serving.length, STEP_SHARE)
   const surplus = prefills.length - aim
   if (surplus > 0) return pick(prefills, surplus).map(({ replicaId }) => ({ replicaId, stage: 'decode' }))
@@ -84,6 +83,16 @@
   return pick(decodes, -surplus).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
 }
 
+/**
+ * Tells whether the pools have nothing to do.
+ *
+ * @param work - measured work
+ * @returns true when it is less than one replica's in twenty
+ */
+export function isIdle ({ decode, prefill }: PoolWork): boolean {
+  return prefill + decode < NO_WORK
+}
+
 /**
  * Refills a pool that lost its last replica, whatever the load: without work to measure in
  * it, the loads would never ask for one. Decode goes first, since a decode replica reads
