--- /dev/null
+++ b/packages/bendfall-edge/src/replica/BendfallEdgePrefillListener.ts
@@ -0,0 +1,44 @@
+/**
+ * Reads the answer of a replica that was asked to read a prompt.
+ *
+ * @module
+ */
+import type { PrefillOutcome } from 'bendfall-router'
+import type { AnswerHead, ReplicaDialect } from '../BendfallEdgeDialect.js'
+import type { IdentifiedListener } from './BendfallEdgeAnswerIdentity.js'
+
+/** Longest answer of a prefill that is read. */
+const PREFILL_ANSWER_BYTES = 65_536
+
+/**
+ * Makes the listener of one prefill.
+ *
+ * @param dialect - reads the result
+ * @param onResult - told what came of it, once
+ * @returns the listener
+ */
+export function createPrefillListener (dialect: ReplicaDialect, onResult: (outcome: PrefillOutcome) => void): IdentifiedListener {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  let status = 0
+  let head: AnswerHead | undefined
+  return {
+    onHead: (answered, _, answeredHead) => {
+      status = answered
+      head = answeredHead
+    },
+    onChunk: (chunk) => {
+      bytes += chunk.length
+      if (bytes <= PREFILL_ANSWER_BYTES) chunks.push(chunk)
+    },
+    onEnd: () => {
+      if (status === 200) {
+        const handle = dialect.readPrefillResult(Buffer.concat(chunks))
+        onResult(handle.isOk() ? { type: 'read', handle: handle.value } : { type: 'failed', failure: 'unknown' })
+      } else {
+        onResult({ type: 'failed', failure: head?.isWrongReplica === true ? 'wrong_replica' : head?.isNotRun === true ? 'not_run' : 'unknown' })
+      }
+    },
+    onFail: (_, isSent) => onResult({ type: 'failed', failure: isSent ? 'unknown' : 'not_sent' })
+  }
+}
