--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -41,8 +41,19 @@
   handle?: string
 }
 
+/** An order to change the stage, as it arrived. */
+export interface SeenOrder {
+  /** Monotonic time. */
+  readonly atMs: number
+  readonly fence: number
+  readonly holder: string
+  readonly stage: 'prefill' | 'decode'
+}
+
 /** The stand-in. */
 export interface FleetReplica extends FleetServer {
+  /** Orders, also those that it refused for a fence lower than one it saw. */
+  readonly orders: readonly SeenOrder[]
   readonly seen: readonly SeenRequest[]
   /** Fails the next request that it is asked to run. */
   readonly failNext: (fault: FleetReplicaFault) => void
@@ -62,6 +73,8 @@
   readonly running: () => number
 }
 
+const ACCEPTED_STATUS = 202
+const FENCED_STATUS = 412
 const PREFILL_TOKENS_PER_MS = 100
 const TOKENS_PER_EVENT = 13
 
@@ -79,6 +92,7 @@
 export async function startFleetReplica (options: FleetReplicaOptions): Promise<FleetReplica> {
   const { answerMs = 0, eventMs = 5, events = 6, memoryTokens = 20_000, replicaId } = options
   const seen: SeenRequest[] = []
+  const orders: SeenOrder[] = []
   const runs = new Map<string, Run>()
   const handles = new Set<string>()
   const faults: FleetReplicaFault[] = []
@@ -193,6 +207,14 @@
     runs.clear()
   }
 
+  function takeOrder ({ fence, holder, stage: ordered }: Omit<SeenOrder, 'atMs'>): number {
+    const isFenced = orders.some((former) => former.fence > fence)
+    orders.push({ atMs: performance.now(), fence, holder, stage: ordered })
+    if (isFenced) return FENCED_STATUS
+    stage = ordered
+    return ACCEPTED_STATUS
+  }
+
   const server = await startFleetServer(options.host, (request, body, response) => {
     const path = request.url ?? '/'
     sendSecondAnswer(request)
@@ -203,8 +225,7 @@
     }
     if ((request.headers['x-expect-instance'] ?? replicaId) !== replicaId) return misdirect(request, response)
     if (path === '/api/order') {
-      stage = (JSON.parse(body.toString()) as { readonly stage: 'prefill' | 'decode' }).stage
-      return answerJson(response, 202, {})
+      return answerJson(response, takeOrder(JSON.parse(body.toString()) as Omit<SeenOrder, 'atMs'>), {})
     }
     const wantsPrefill = request.headers['x-serving-stage'] === 'prefill'
     if (stage !== undefined && wantsPrefill !== (stage === 'prefill')) return misdirect(request, response)
@@ -214,6 +235,7 @@
   return {
     ...server,
     seen,
+    orders,
     stage: () => stage,
     startedAtMs: () => startedAtMs,
     restart,
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -9,6 +9,7 @@
 import type { Draw } from '../../BendfallFakesClusterFaults.js'
 import { call, findWrongAnswer } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
+import type { SeenOrder } from '../BendfallFakesFleetReplica.js'
 import { ALL_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS } from './BendfallFakesSoakFaults.js'
 import { SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet } from './BendfallFakesSoakFleet.js'
@@ -18,6 +19,8 @@
   readonly calls: number
   readonly answered: number
   readonly refused: number
+  /** Orders that reached replicas. */
+  readonly orders: number
   readonly faults: readonly string[]
   readonly violations: readonly string[]
   /** Log lines of the processes that tell of them; empty without violations. */
@@ -78,10 +81,11 @@
       ...Array.from({ length: CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
       ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), names, faults, isOver))
     ])
-    const violations = [...findViolations(fleet, records), ...findLateArrivals(fleet, faults), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
+    const violations = [...findViolations(fleet, records), ...findLateArrivals(fleet, faults), ...findFenceFaults(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
     const answered = records.filter(({ isWhole, status }) => status === 200 && isWhole).length
     const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
-    return { calls: records.length, answered, refused, faults: faults.map(describeFault), violations, evidence: findEvidence(fleet, violations) }
+    const orders = fleet.models.reduce((sum, { replica }) => sum + replica.orders.length, 0)
+    return { calls: records.length, answered, refused, orders, faults: faults.map(describeFault), violations, evidence: findEvidence(fleet, violations) }
   } finally {
     await fleet.close()
   }
@@ -124,6 +128,26 @@
     .map(({ atMs, requestId }) => `${requestId} reached ${replica.address} ${Math.round(atMs - fromMs)} ms after it left (at ${Math.round(atMs)}, wall ${new Date(performance.timeOrigin + atMs).toISOString()})`))
 }
 
+/**
+ * Finds orders of two holders at a time, and fences that did not rise.
+ *
+ * @param orders - as they arrived at all replicas
+ * @returns a line for each
+ */
+export function findFenceFaults (orders: readonly SeenOrder[]): string[] {
+  const holders = new Map<number, string>()
+  let highest = 0
+  return [...orders].sort((one, other) => one.atMs - other.atMs).flatMap(({ atMs, fence, holder }) => {
+    const found: string[] = []
+    const former = holders.get(fence)
+    if (former !== undefined && former !== holder) found.push(`fence ${fence} of ${former} was used by ${holder} at ${Math.round(atMs)}`)
+    if (fence < highest) found.push(`${holder} ordered with fence ${fence} at ${Math.round(atMs)}, behind ${highest} of ${holders.get(highest)}`)
+    holders.set(fence, holder)
+    highest = Math.max(highest, fence)
+    return found
+  })
+}
+
 function describeFault ({ fromMs, name, untilMs }: SoakFault): string {
   return `${name} ${Math.round(fromMs)}-${Math.round(untilMs)}`
 }
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
@@ -12,8 +12,8 @@
 
 let failed = 0
 for (let seed = first; seed <= last; seed++) {
-  const { answered, calls, evidence, faults, refused, violations } = await soakFleet(seed, Number(values.seconds), values.drills)
-  console.log(`seed ${seed}: ${calls} calls, ${answered} answered, ${refused} refused as not run, ${faults.length} faults, ${violations.length} violations`)
+  const { answered, calls, evidence, faults, orders, refused, violations } = await soakFleet(seed, Number(values.seconds), values.drills)
+  console.log(`seed ${seed}: ${calls} calls, ${answered} answered, ${refused} refused as not run, ${faults.length} faults, ${orders} orders, ${violations.length} violations`)
   for (const violation of violations) console.log(`  ${violation}`)
   if (violations.length === 0) continue
   failed += 1
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -9,6 +9,8 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import type { EdgeSettings } from 'bendfall-edge'
+import { digestPoolIntent } from 'bendfall-router'
+import type { PoolIntent } from 'bendfall-router'
 import { startProcess } from '../../BendfallFakesDemoProcess.js'
 import type { ListeningProcess } from '../../BendfallFakesDemoProcess.js'
 import type { FleetReplica } from '../BendfallFakesFleetReplica.js'
@@ -81,6 +83,9 @@
 const PLAIN_ROUTE = { ...ROUTE, 'timeout-ms': 1_200, 'target-latency-ms': 150, priority: 2, service: 'app' }
 const PROMPT_ROUTE = { ...ROUTE, kind: 'streaming', service: 'llm', sticky: true, 'target-gap-ms': 300 }
 
+/** Another replica is to read prompts than those that start so, so that each holder and each restart gives cause for an order. */
+const POOL_INTENT: PoolIntent = { usualPrefillShare: 0.67, leastPrefillShare: 0.5, leastPrefillReplicas: 1, mostPrefillShare: 0.67 }
+
 const CONFIG = {
   version: 1,
   routes: [
@@ -109,7 +114,9 @@
   for (const one of [...models, ...plain]) one.register('ready')
   const configure = (): void => store.put('op/config', CONFIG)
   configure()
-  const shared = { availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4 }
+  const poolsFile = join(folder, 'pools.json')
+  writeFileSync(poolsFile, JSON.stringify({ intent: POOL_INTENT, confirmedDigest: digestPoolIntent(POOL_INTENT) }))
+  const shared = { poolsFile, availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4 }
   const entryIps = [ip(2), ip(3)]
   const nodes = [
     ...await Promise.all(models.map(({ replica }, index) => startNode(folder, 'sidecar', { ...shared, instanceId: `sidecar-${index}`, ip: hostOf(replica.address), replicaAddress: replica.address }))),
