--- a/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/LoadWorld.ts
@@ -1,7 +1,7 @@
-import { drawUnit } from 'bendfall-core'
 import { createLedgerState, createRouterState, DEFAULT_DECISIONS, loadOf, reduceLedger, reduceRouter } from '../../index.js'
 import type { LedgerEffect, LedgerEvent, LedgerState, ReplicaStage, RouterDecisions, RouterEffect, RouterEffectOf, RouterEvent, RouterState } from '../../index.js'
 import { configOf, replicaOf, summaryRoute } from './RouterWorld.js'
+import { VirtualTime } from './VirtualTime.js'
 
 /** Load that is played: streams of 3,200 prompt tokens on average and 640 of output. */
 export interface Load {
@@ -80,16 +80,13 @@
   private readonly entry: RouterState
   private readonly engines = new Map<string, Engine>()
   private readonly callers = new Map<string, Caller>()
-  private readonly timeline: Array<{ readonly atMs: number, readonly order: number, readonly act: () => void }> = []
-  private nowMs = 0
-  private order = 0
-  private seed: number
+  private readonly time: VirtualTime
   private longestRefusalMs = 0
   private prefillsSent = 0
   private prefillsEnded = 0
 
   constructor (private readonly load: Load) {
-    this.seed = load.seed ?? 11
+    this.time = new VirtualTime(load.seed ?? 11)
     const decisions = { ...DEFAULT_DECISIONS, ...load.decisions }
     this.entry = createRouterState(7, 'entry-1', decisions)
     const names: Array<[string, ReplicaStage]> = [
@@ -105,39 +102,36 @@
   }
 
   play (): LoadResult {
-    for (const { atMs, replicaId } of this.load.lost ?? []) this.at(atMs, () => { this.engineAt(replicaId).isLost = true })
+    for (const { atMs, replicaId } of this.load.lost ?? []) this.time.at(atMs, () => { this.engineAt(replicaId).isLost = true })
     this.load.perSecond.forEach((count, second) => this.planArrivals(count, second * 1_000))
     const endMs = this.load.perSecond.length * 1_000 + END_MS
-    for (let next = this.timeline.shift(); next !== undefined && next.atMs <= endMs; next = this.timeline.shift()) {
-      this.nowMs = next.atMs
-      next.act()
-    }
+    this.time.playUntil(endMs)
     const outcomes = [...this.callers.values()].map(({ outcome }) => outcome ?? 'unserved')
     const countOf = (outcome: string): number => outcomes.filter((one) => one === outcome).length
     return { asked: outcomes.length, onTime: countOf('on_time'), late: countOf('late'), unserved: countOf('unserved'), longestRefusalMs: this.longestRefusalMs, prefillsSent: this.prefillsSent, prefillsEnded: this.prefillsEnded }
   }
 
   private planArrivals (count: number, fromMs: number): void {
-    for (let i = 0; i < count; i++) this.at(fromMs + this.draw() * 1_000, () => this.arrive())
+    for (let i = 0; i < count; i++) this.time.at(fromMs + this.time.draw() * 1_000, () => this.arrive())
   }
 
   private arrive (): void {
-    const outputTokens = Math.round(640 * Math.exp(0.6 * (this.draw() + this.draw() + this.draw() - 1.5) * 2) * 0.85)
-    const hintTokens = Math.round(outputTokens * Math.exp((this.draw() - 0.5)))
-    const caller = { promptTokens: Math.round(1_200 + 4_000 * this.draw()), outputTokens, hintTokens, firstTryAtMs: this.nowMs, tryAtMs: this.nowMs, tries: 0 }
+    const outputTokens = Math.round(640 * Math.exp(0.6 * (this.time.draw() + this.time.draw() + this.time.draw() - 1.5) * 2) * 0.85)
+    const hintTokens = Math.round(outputTokens * Math.exp((this.time.draw() - 0.5)))
+    const caller = { promptTokens: Math.round(1_200 + 4_000 * this.time.draw()), outputTokens, hintTokens, firstTryAtMs: this.time.nowMs, tryAtMs: this.time.nowMs, tries: 0 }
     this.ask(`${this.callers.size}`, caller)
   }
 
   private ask (name: string, caller: Caller): void {
     this.callers.set(name, caller)
     caller.tries += 1
-    caller.tryAtMs = this.nowMs
+    caller.tryAtMs = this.time.nowMs
     const key = `${name}.${caller.tries}`
     const prompt = { promptTokens: caller.promptTokens, maxOutputTokens: 1_600, outputHintTokens: caller.hintTokens }
-    const deadlineMs = PATIENCE_MS - (this.nowMs - caller.firstTryAtMs)
-    this.route({ type: 'request_arrived', atMs: this.nowMs, arrival: { key, requestId: key, host: 'quotes.example', path: '/summaries/1', deadlineMs, prompt } })
-    this.after(QUIET_MS, () => {
-      if (caller.outcome === undefined && this.entry.requests.has(key)) this.route({ type: 'caller_left', atMs: this.nowMs, key })
+    const deadlineMs = PATIENCE_MS - (this.time.nowMs - caller.firstTryAtMs)
+    this.route({ type: 'request_arrived', atMs: this.time.nowMs, arrival: { key, requestId: key, host: 'quotes.example', path: '/summaries/1', deadlineMs, prompt } })
+    this.time.after(QUIET_MS, () => {
+      if (caller.outcome === undefined && this.entry.requests.has(key)) this.route({ type: 'caller_left', atMs: this.time.nowMs, key })
     })
   }
 
@@ -159,7 +153,7 @@
     }),
     confirm: ({ bookingId, maxWaitMs, replicaId }) => this.tellLedger(replicaId, { type: 'confirm_asked', atMs: 0, bookingId, maxWaitMs }),
     queue_prefill: (effect) => this.book(effect),
-    refresh_replicas: () => this.after(HOP_MS, () => this.route({ type: 'replicas_refreshed', atMs: this.nowMs })),
+    refresh_replicas: () => this.time.after(HOP_MS, () => this.route({ type: 'replicas_refreshed', atMs: this.time.nowMs })),
     refuse: (effect) => this.refuse(effect),
     release: ({ bookingId, replicaId }) => this.tellLedger(replicaId, { type: 'ask_withdrawn', atMs: 0, bookingId }),
     reserve: (effect) => this.book(effect),
@@ -175,14 +169,14 @@
 
   private book (effect: RouterEffectOf<'reserve'> | RouterEffectOf<'queue_prefill'>): void {
     const ask = effect.type === 'reserve' ? effect : { ...effect, hintTokens: 0, maxOutputTokens: 0, readsInPlace: false }
-    this.after(HOP_MS, () => {
-      this.reduceLedger(this.engineAt(effect.replicaId), { type: 'memory_asked', atMs: this.nowMs, ask: { ...ask, requestId: requestOf(effect.bookingId) } })
-      this.after(effect.maxWaitMs, () => this.reduceLedger(this.engineAt(effect.replicaId), { type: 'time_passed', atMs: this.nowMs }))
+    this.time.after(HOP_MS, () => {
+      this.reduceLedger(this.engineAt(effect.replicaId), { type: 'memory_asked', atMs: this.time.nowMs, ask: { ...ask, requestId: requestOf(effect.bookingId) } })
+      this.time.after(effect.maxWaitMs, () => this.reduceLedger(this.engineAt(effect.replicaId), { type: 'time_passed', atMs: this.time.nowMs }))
     })
   }
 
   private tellLedger (replicaId: string, event: LedgerEvent): void {
-    this.after(HOP_MS, () => this.reduceLedger(this.engineAt(replicaId), { ...event, atMs: this.nowMs }))
+    this.time.after(HOP_MS, () => this.reduceLedger(this.engineAt(replicaId), { ...event, atMs: this.time.nowMs }))
   }
 
   private reduceLedger (engine: Engine, event: LedgerEvent): void {
@@ -190,14 +184,14 @@
   }
 
   private carryOutLedger (engine: Engine, effect: LedgerEffect): void {
-    if (effect.type === 'read_report') return this.after(HOP_MS, () => this.readReport(engine))
+    if (effect.type === 'read_report') return this.time.after(HOP_MS, () => this.readReport(engine))
     const key = requestOf(effect.bookingId)
     const attempt = Number(effect.bookingId.slice(effect.bookingId.lastIndexOf('/') + 1))
-    this.after(HOP_MS, () => this.answer(engine, key, attempt, effect))
+    this.time.after(HOP_MS, () => this.answer(engine, key, attempt, effect))
   }
 
   private answer (engine: Engine, key: string, attempt: number, effect: Exclude<LedgerEffect, { readonly type: 'read_report' }>): void {
-    const atMs = this.nowMs
+    const atMs = this.time.nowMs
     if (effect.type === 'confirmed') return this.route({ type: 'confirm_answered', atMs, key, attempt: this.entry.requests.get(key)?.attempt ?? -1, outcome: effect.isFree ? 'free' : 'occupied' })
     const outcome = effect.type === 'replica_lost' ? effect : effect.isGranted ? { type: 'granted' as const } : { type: 'refused' as const, retryAfterMs: effect.retryAfterMs }
     this.route({ type: engine.stage === 'prefill' ? 'prefill_queue_answered' : 'reserve_answered', atMs, key, attempt, outcome })
@@ -206,9 +200,9 @@
   private prefill ({ attempt, key, replicaId, tryTimeoutMs }: RouterEffectOf<'send_prefill'>): void {
     const engine = this.engineAt(replicaId)
     this.prefillsSent += 1
-    if (engine.isLost) return this.after(tryTimeoutMs, () => this.endPrefill({ type: 'try_timed_out', atMs: this.nowMs, key, attempt }))
-    engine.busyUntilMs = Math.max(this.nowMs, engine.busyUntilMs) + this.callerOf(key).promptTokens / PREFILL_TOKENS_PER_MS
-    this.at(engine.busyUntilMs + 2 * HOP_MS, () => this.endPrefill({ type: 'prefill_answered', atMs: this.nowMs, key, attempt, outcome: { type: 'read', handle: key } }))
+    if (engine.isLost) return this.time.after(tryTimeoutMs, () => this.endPrefill({ type: 'try_timed_out', atMs: this.time.nowMs, key, attempt }))
+    engine.busyUntilMs = Math.max(this.time.nowMs, engine.busyUntilMs) + this.callerOf(key).promptTokens / PREFILL_TOKENS_PER_MS
+    this.time.at(engine.busyUntilMs + 2 * HOP_MS, () => this.endPrefill({ type: 'prefill_answered', atMs: this.time.nowMs, key, attempt, outcome: { type: 'read', handle: key } }))
   }
 
   private endPrefill (event: Extract<RouterEvent, { readonly type: 'prefill_answered' | 'try_timed_out' }>): void {
@@ -222,20 +216,20 @@
     const engine = this.engineAt(replicaId)
     const { outputTokens, promptTokens } = this.callerOf(key)
     if (engine.isLost) {
-      if (tryTimeoutMs !== undefined) this.after(tryTimeoutMs, () => this.route({ type: 'try_timed_out', atMs: this.nowMs, key, attempt }))
+      if (tryTimeoutMs !== undefined) this.time.after(tryTimeoutMs, () => this.route({ type: 'try_timed_out', atMs: this.time.nowMs, key, attempt }))
       return
     }
-    if (this.usedTokens(engine) + promptTokens > KV_TOKENS) return this.after(HOP_MS, () => this.route({ type: 'run_failed', atMs: this.nowMs, key, attempt, failure: 'not_run' }))
-    const startAtMs = source === undefined ? this.readInPlace(engine, promptTokens) : this.nowMs + TRANSFER_MS
+    if (this.usedTokens(engine) + promptTokens > KV_TOKENS) return this.time.after(HOP_MS, () => this.route({ type: 'run_failed', atMs: this.time.nowMs, key, attempt, failure: 'not_run' }))
+    const startAtMs = source === undefined ? this.readInPlace(engine, promptTokens) : this.time.nowMs + TRANSFER_MS
     const run = { requestId: key, promptTokens, outputTokens, startAtMs, endAtMs: startAtMs + outputTokens * MS_PER_OUTPUT_TOKEN }
     engine.runs.set(key, run)
-    this.at(startAtMs, () => this.start(engine, run, key, attempt))
+    this.time.at(startAtMs, () => this.start(engine, run, key, attempt))
   }
 
   // Its other requests make a quarter of their progress meanwhile.
   private readInPlace (engine: Engine, promptTokens: number): number {
     const readMs = promptTokens / IN_PLACE_TOKENS_PER_MS * 1.3
-    const fromMs = Math.max(this.nowMs, engine.busyUntilMs)
+    const fromMs = Math.max(this.time.nowMs, engine.busyUntilMs)
     for (const run of engine.runs.values()) run.endAtMs += 0.75 * readMs
     engine.busyUntilMs = fromMs + readMs
     return engine.busyUntilMs
@@ -244,43 +238,43 @@
   private start (engine: Engine, run: Run, key: string, attempt: number): void {
     if (engine.runs.get(key) !== run) return
     const caller = this.callerOf(key)
-    caller.outcome = this.nowMs - caller.firstTryAtMs <= TARGET_MS ? 'on_time' : 'late'
-    this.route({ type: 'answer_started', atMs: this.nowMs, key, attempt })
+    caller.outcome = this.time.nowMs - caller.firstTryAtMs <= TARGET_MS ? 'on_time' : 'late'
+    this.route({ type: 'answer_started', atMs: this.time.nowMs, key, attempt })
     this.finish(engine, run, key, attempt)
   }
 
   private finish (engine: Engine, run: Run, key: string, attempt: number): void {
-    this.at(run.endAtMs, () => {
+    this.time.at(run.endAtMs, () => {
       if (engine.runs.get(key) !== run) return
-      if (run.endAtMs > this.nowMs) return this.finish(engine, run, key, attempt)
+      if (run.endAtMs > this.time.nowMs) return this.finish(engine, run, key, attempt)
       engine.runs.delete(key)
-      this.route({ type: 'answer_complete', atMs: this.nowMs, key, attempt, status: 200, outputEvents: 71 })
+      this.route({ type: 'answer_complete', atMs: this.time.nowMs, key, attempt, status: 200, outputEvents: 71 })
     })
   }
 
   private refuse ({ key, retryAfterMs = 0 }: RouterEffectOf<'refuse'>): void {
     const caller = this.callerOf(key)
-    this.longestRefusalMs = Math.max(this.longestRefusalMs, this.nowMs - caller.tryAtMs)
+    this.longestRefusalMs = Math.max(this.longestRefusalMs, this.time.nowMs - caller.tryAtMs)
     if (caller.tries > 1) caller.outcome = 'unserved'
-    else this.after(retryAfterMs + 2 * HOP_MS, () => this.ask(key.slice(0, key.indexOf('.')), caller))
+    else this.time.after(retryAfterMs + 2 * HOP_MS, () => this.ask(key.slice(0, key.indexOf('.')), caller))
   }
 
   private report (replicaId: string): void {
     this.readReport(this.engineAt(replicaId))
-    this.after(REPORT_MS, () => this.report(replicaId))
+    this.time.after(REPORT_MS, () => this.report(replicaId))
   }
 
   private readReport (engine: Engine): void {
-    if (engine.isLost) return this.reduceLedger(engine, { type: 'report_failed', atMs: this.nowMs })
-    const runs = [...engine.runs.values()].map((run) => ({ requestId: run.requestId, tokensInMemory: Math.round(this.tokensOf(run)), eventsMade: this.nowMs >= run.startAtMs ? 1 : 0 }))
+    if (engine.isLost) return this.reduceLedger(engine, { type: 'report_failed', atMs: this.time.nowMs })
+    const runs = [...engine.runs.values()].map((run) => ({ requestId: run.requestId, tokensInMemory: Math.round(this.tokensOf(run)), eventsMade: this.time.nowMs >= run.startAtMs ? 1 : 0 }))
     const report = { stage: engine.stage, usedTokens: Math.round(this.usedTokens(engine)), capacityTokens: KV_TOKENS, queued: 0, active: runs.length, isSwitching: false, runs }
-    this.reduceLedger(engine, { type: 'report_read', atMs: this.nowMs, askedAtMs: this.nowMs, report })
+    this.reduceLedger(engine, { type: 'report_read', atMs: this.time.nowMs, askedAtMs: this.time.nowMs, report })
   }
 
   private askLoads ({ replicaIds, request }: RouterEffectOf<'ask_loads'>): void {
-    this.after(2 * HOP_MS, () => {
-      for (const replicaId of replicaIds) this.route({ type: 'load_learned', atMs: this.nowMs, load: loadOf(this.engineAt(replicaId).ledger, replicaId, this.nowMs) })
-      if (request !== undefined) this.route({ type: 'loads_answered', atMs: this.nowMs, key: request.key, attempt: request.attempt })
+    this.time.after(2 * HOP_MS, () => {
+      for (const replicaId of replicaIds) this.route({ type: 'load_learned', atMs: this.time.nowMs, load: loadOf(this.engineAt(replicaId).ledger, replicaId, this.time.nowMs) })
+      if (request !== undefined) this.route({ type: 'loads_answered', atMs: this.time.nowMs, key: request.key, attempt: request.attempt })
     })
   }
 
@@ -291,37 +285,13 @@
   }
 
   private tokensOf ({ endAtMs, outputTokens, promptTokens, startAtMs }: Run): number {
-    const share = Math.max(0, Math.min(1, (this.nowMs - startAtMs) / (endAtMs - startAtMs)))
+    const share = Math.max(0, Math.min(1, (this.time.nowMs - startAtMs) / (endAtMs - startAtMs)))
     return promptTokens + share * outputTokens
   }
 
   private engineAt (replicaId: string): Engine {
     return this.engines.get(replicaId) as Engine
   }
-
-  private draw (): number {
-    const { seed, value } = drawUnit(this.seed)
-    this.seed = seed
-    return value
-  }
-
-  private after (ms: number, act: () => void): void {
-    this.at(this.nowMs + ms, act)
-  }
-
-  private at (atMs: number, act: () => void): void {
-    this.order += 1
-    const entry = { atMs: Math.max(atMs, this.nowMs), order: this.order, act }
-    let low = 0
-    let high = this.timeline.length
-    while (low < high) {
-      const middle = (low + high) >> 1
-      const other = this.timeline[middle]
-      if (other !== undefined && (other.atMs < entry.atMs || (other.atMs === entry.atMs && other.order < entry.order))) low = middle + 1
-      else high = middle
-    }
-    this.timeline.splice(low, 0, entry)
-  }
 }
 
 function requestOf (bookingId: string): string {
--- a/packages/bendfall-router/src/__tests__/unit/RefusalWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/RefusalWorld.ts
@@ -1,7 +1,7 @@
-import { drawUnit } from 'bendfall-core'
 import { createRouterState, DEFAULT_DECISIONS, reduceRouter, TICK_MS } from '../../index.js'
 import type { BudgetLimits, RouterEffect, RouterEffectOf, RouterEvent, RouterState } from '../../index.js'
 import { configOf, loadOf, plainRoute, replicaOf, summaryRoute } from './RouterWorld.js'
+import { VirtualTime } from './VirtualTime.js'
 
 /** Entries before replicas that refuse a share of what reaches them, in virtual time. */
 export interface RefusalPlay {
@@ -48,34 +48,29 @@
 
 class RefusalWorld {
   private readonly entries: RouterState[]
-  private readonly buckets: Array<Array<() => void>> = []
+  private readonly time: VirtualTime
   private readonly arrived = new Map<string, Arrived[]>()
   private readonly requests = { prompts: [] as number[], calls: [] as number[] }
-  private nowMs = 0
-  private seed: number
   private served = 0
   private promptsRead = 0
   private promptsUsed = 0
 
   constructor (private readonly plan: RefusalPlay) {
-    this.seed = plan.seed
+    this.time = new VirtualTime(plan.seed)
     const replicas = [...['p1', 'p2'].map((id) => replicaOf(id, 'prefill')), ...['d1', 'd2', 'd3', 'd4'].map((id) => replicaOf(id, 'decode')), ...['a1', 'a2', 'a3'].map((id) => replicaOf(id, 'plain'))]
     this.entries = Array.from({ length: plan.entries }, (_, i) => createRouterState(plan.seed + i, `entry-${i}`, DEFAULT_DECISIONS, plan.limits))
     for (let i = 0; i < plan.entries; i++) {
       this.reduce(i, { type: 'config_learned', atMs: 0, config: configOf(1, [summaryRoute({ maxAttempts: 3, isResumable: true }), plainRoute()]) })
       this.reduce(i, { type: 'replicas_changed', atMs: 0, present: replicas, gone: [] })
-      for (let atMs = TICK_MS; atMs < plan.seconds * 1_000 + END_MS; atMs += TICK_MS) this.at(atMs, () => this.reduce(i, { type: 'time_passed', atMs: this.nowMs }))
+      for (let atMs = TICK_MS; atMs < plan.seconds * 1_000 + END_MS; atMs += TICK_MS) this.time.at(atMs, () => this.reduce(i, { type: 'time_passed', atMs: this.time.nowMs }))
     }
   }
 
   play (): RefusalResult {
     for (let second = 0; second < this.plan.seconds; second++) {
-      for (let i = 0; i < this.plan.perSecond(second * 1_000); i++) this.at((second + this.draw()) * 1_000, () => this.arrive())
-    }
-    for (let atMs = 0; atMs < this.buckets.length; atMs++) {
-      this.nowMs = atMs
-      for (const act of this.buckets[atMs] ?? []) act()
+      for (let i = 0; i < this.plan.perSecond(second * 1_000); i++) this.time.at((second + this.time.draw()) * 1_000, () => this.arrive())
     }
+    this.time.playUntil(this.plan.seconds * 1_000 + END_MS)
     const prompts = { requests: this.requests.prompts, extras: this.extras('prompts') }
     const calls = { requests: this.requests.calls, extras: this.extras('calls') }
     return { prompts, calls, asked: prompts.requests.length + calls.requests.length, repeats: prompts.extras.length + calls.extras.length, served: this.served, promptsRead: this.promptsRead, promptsUsed: this.promptsUsed }
@@ -90,13 +85,13 @@
   }
 
   private arrive (): void {
-    const entry = Math.floor(this.draw() * this.entries.length)
-    const hasPrompt = this.draw() < 0.5
+    const entry = Math.floor(this.time.draw() * this.entries.length)
+    const hasPrompt = this.time.draw() < 0.5
     const kind = hasPrompt ? 'prompts' : 'calls'
     const key = `${entry}.${this.requests[kind].length}.${kind}`
-    this.requests[kind].push(this.nowMs)
+    this.requests[kind].push(this.time.nowMs)
     const prompt = hasPrompt ? { promptTokens: 2_000, maxOutputTokens: 600, outputHintTokens: 300 } : undefined
-    this.reduce(entry, { type: 'request_arrived', atMs: this.nowMs, arrival: { key, requestId: key, host: 'quotes.example', path: hasPrompt ? '/summaries/1' : '/rates/1', deadlineMs: 3_000, prompt } })
+    this.reduce(entry, { type: 'request_arrived', atMs: this.time.nowMs, arrival: { key, requestId: key, host: 'quotes.example', path: hasPrompt ? '/summaries/1' : '/rates/1', deadlineMs: 3_000, prompt } })
   }
 
   private reduce (entry: number, event: RouterEvent): void {
@@ -105,12 +100,12 @@
 
   private readonly effects: { readonly [T in RouterEffect['type']]?: (entry: number, effect: RouterEffectOf<T>) => void } = {
     ask_loads: (entry, { replicaIds, request }) => {
-      for (const replicaId of replicaIds) this.reduce(entry, { type: 'load_learned', atMs: this.nowMs, load: loadOf(replicaId, replicaId.startsWith('p') ? 'prefill' : 'decode', 30_000) })
-      if (request !== undefined) this.reduce(entry, { type: 'loads_answered', atMs: this.nowMs, key: request.key, attempt: request.attempt })
+      for (const replicaId of replicaIds) this.reduce(entry, { type: 'load_learned', atMs: this.time.nowMs, load: loadOf(replicaId, replicaId.startsWith('p') ? 'prefill' : 'decode', 30_000) })
+      if (request !== undefined) this.reduce(entry, { type: 'loads_answered', atMs: this.time.nowMs, key: request.key, attempt: request.attempt })
     },
-    confirm: (entry, { attempt, key }) => this.after(HOP_MS, () => this.reduce(entry, { type: 'confirm_answered', atMs: this.nowMs, key, attempt, outcome: 'free' })),
-    queue_prefill: (entry, { attempt, key }) => this.after(HOP_MS, () => this.reduce(entry, { type: 'prefill_queue_answered', atMs: this.nowMs, key, attempt, outcome: { type: 'granted' } })),
-    reserve: (entry, { attempt, key }) => this.after(HOP_MS, () => this.reduce(entry, { type: 'reserve_answered', atMs: this.nowMs, key, attempt, outcome: { type: 'granted' } })),
+    confirm: (entry, { attempt, key }) => this.time.after(HOP_MS, () => this.reduce(entry, { type: 'confirm_answered', atMs: this.time.nowMs, key, attempt, outcome: 'free' })),
+    queue_prefill: (entry, { attempt, key }) => this.time.after(HOP_MS, () => this.reduce(entry, { type: 'prefill_queue_answered', atMs: this.time.nowMs, key, attempt, outcome: { type: 'granted' } })),
+    reserve: (entry, { attempt, key }) => this.time.after(HOP_MS, () => this.reduce(entry, { type: 'reserve_answered', atMs: this.time.nowMs, key, attempt, outcome: { type: 'granted' } })),
     send_prefill: (entry, { attempt, key }) => this.read(entry, key, attempt),
     send_run: (entry, effect) => this.run(entry, effect)
   }
@@ -118,43 +113,27 @@
   private read (entry: number, key: string, attempt: number): void {
     const isRefused = this.isRefused()
     this.note(key, !isRefused)
-    if (isRefused) return this.after(HOP_MS, () => this.reduce(entry, { type: 'prefill_answered', atMs: this.nowMs, key, attempt, outcome: { type: 'failed', failure: 'not_run' } }))
+    if (isRefused) return this.time.after(HOP_MS, () => this.reduce(entry, { type: 'prefill_answered', atMs: this.time.nowMs, key, attempt, outcome: { type: 'failed', failure: 'not_run' } }))
     this.promptsRead += 1
-    this.after(READ_MS, () => this.reduce(entry, { type: 'prefill_answered', atMs: this.nowMs, key, attempt, outcome: { type: 'read', handle: key } }))
+    this.time.after(READ_MS, () => this.reduce(entry, { type: 'prefill_answered', atMs: this.time.nowMs, key, attempt, outcome: { type: 'read', handle: key } }))
   }
 
   private run (entry: number, { attempt, key, source }: RouterEffectOf<'send_run'>): void {
     this.note(key, false)
-    if (this.isRefused()) return this.after(HOP_MS, () => this.reduce(entry, { type: 'run_failed', atMs: this.nowMs, key, attempt, failure: 'not_run' }))
+    if (this.isRefused()) return this.time.after(HOP_MS, () => this.reduce(entry, { type: 'run_failed', atMs: this.time.nowMs, key, attempt, failure: 'not_run' }))
     if (source !== undefined) this.promptsUsed += 1
     this.served += 1
-    this.after(FIRST_EVENT_MS, () => this.reduce(entry, { type: 'answer_started', atMs: this.nowMs, key, attempt }))
-    this.after(ANSWER_MS, () => this.reduce(entry, { type: 'answer_complete', atMs: this.nowMs, key, attempt, status: 200, outputEvents: 30 }))
+    this.time.after(FIRST_EVENT_MS, () => this.reduce(entry, { type: 'answer_started', atMs: this.time.nowMs, key, attempt }))
+    this.time.after(ANSWER_MS, () => this.reduce(entry, { type: 'answer_complete', atMs: this.time.nowMs, key, attempt, status: 200, outputEvents: 30 }))
   }
 
   private note (key: string, isFreeRead: boolean): void {
     const all = this.arrived.get(key) ?? []
-    all.push({ atMs: this.nowMs, isFreeRead })
+    all.push({ atMs: this.time.nowMs, isFreeRead })
     this.arrived.set(key, all)
   }
 
   private isRefused (): boolean {
-    return this.draw() < this.plan.refusedShare(this.nowMs)
-  }
-
-  private draw (): number {
-    const { seed, value } = drawUnit(this.seed)
-    this.seed = seed
-    return value
-  }
-
-  private after (ms: number, act: () => void): void {
-    this.at(this.nowMs + ms, act)
-  }
-
-  private at (atMs: number, act: () => void): void {
-    const place = Math.ceil(atMs)
-    const bucket = this.buckets[place] ??= []
-    bucket.push(act)
+    return this.time.draw() < this.plan.refusedShare(this.time.nowMs)
   }
 }
