--- a/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScene.ts
+++ b/packages/bendfall-fakes/src/fleet/answers/BendfallFakesAnswersScene.ts
@@ -8,6 +8,7 @@
 import { startEntry } from 'bendfall-edge'
 import { createLogger } from 'bendfall-node'
 import { createPlatformKeyValue, PLATFORM_DIALECT } from 'bendfall-platform-adapter'
+import { createFleetConfig } from '../BendfallFakesFleetConfig.js'
 import { startFleetStore } from '../BendfallFakesFleetStore.js'
 import type { AnswersFleet, ReplicaPlace } from './BendfallFakesAnswersFleet.js'
 
@@ -38,21 +39,7 @@
 const READY_POLLS = 150
 const POLL_MS = 20
 
-const ROUTE = { host: ANSWERS_HOST, 'timeout-ms': 4_000, 'target-latency-ms': 900, priority: 1 }
-const PLAIN_ROUTE = { ...ROUTE, priority: 2, service: 'app' }
-const PROMPT_ROUTE = { ...ROUTE, kind: 'streaming', service: 'llm', sticky: true, 'target-gap-ms': 300 }
-
-const CONFIG = {
-  version: 1,
-  routes: [
-    { ...PROMPT_ROUTE, name: 'summary', 'path-prefix': '/summary/', 'max-attempts': 1, resumable: false },
-    { ...PROMPT_ROUTE, name: 'brief', 'path-prefix': '/brief/', 'max-attempts': 2, resumable: true },
-    { ...PLAIN_ROUTE, name: 'rate', 'path-prefix': '/rate/', kind: 'idempotent', 'max-attempts': 2 },
-    { ...PLAIN_ROUTE, name: 'booking', 'path-prefix': '/booking/', kind: 'non_idempotent', 'max-attempts': 1 }
-  ],
-  services: [{ name: 'llm', 'max-connections': 370, engine: { slots: 64, 'kv-tokens': 20_000, 'handle-ttl-s': 2, 'switch-s': 1 } }, { name: 'app', 'max-connections': 110 }],
-  limits: { 'max-header-bytes': 4_096, 'max-body-bytes': 2_000_000, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
-}
+const CONFIG = createFleetConfig({ host: ANSWERS_HOST, timeoutMs: 4_000, handleTtlS: 2, maxBodyBytes: 2_000_000 })
 
 /**
  * Loopback addresses of this process alone, so that runs may go side by side.
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -13,6 +13,7 @@
 import type { PoolIntent } from 'bendfall-router'
 import { startProcess } from '../../BendfallFakesDemoProcess.js'
 import type { ListeningProcess } from '../../BendfallFakesDemoProcess.js'
+import { createFleetConfig } from '../BendfallFakesFleetConfig.js'
 import type { FleetReplica } from '../BendfallFakesFleetReplica.js'
 import { startFleetReplica } from '../BendfallFakesFleetReplica.js'
 import type { FleetStore } from '../BendfallFakesFleetStore.js'
@@ -79,24 +80,10 @@
   readonly close: () => Promise<void>
 }
 
-const ROUTE = { host: SOAK_HOST, 'timeout-ms': 5_000, 'target-latency-ms': 900, priority: 1 }
-const PLAIN_ROUTE = { ...ROUTE, 'timeout-ms': 1_200, 'target-latency-ms': 150, priority: 2, service: 'app' }
-const PROMPT_ROUTE = { ...ROUTE, kind: 'streaming', service: 'llm', sticky: true, 'target-gap-ms': 300 }
-
 /** Another replica is to read prompts than those that start so, so that each holder and each restart gives cause for an order. */
 const POOL_INTENT: PoolIntent = { usualPrefillShare: 0.67, leastPrefillShare: 0.5, leastPrefillReplicas: 1, mostPrefillShare: 0.67 }
 
-const CONFIG = {
-  version: 1,
-  routes: [
-    { ...PROMPT_ROUTE, name: 'summary', 'path-prefix': '/summary/', 'max-attempts': 1, resumable: false },
-    { ...PROMPT_ROUTE, name: 'brief', 'path-prefix': '/brief/', 'max-attempts': 2, resumable: true },
-    { ...PLAIN_ROUTE, name: 'rate', 'path-prefix': '/rate/', kind: 'idempotent', 'max-attempts': 2 },
-    { ...PLAIN_ROUTE, name: 'booking', 'path-prefix': '/booking/', kind: 'non_idempotent', 'max-attempts': 1 }
-  ],
-  services: [{ name: 'llm', 'max-connections': 370, engine: { slots: 64, 'kv-tokens': 20_000, 'handle-ttl-s': 0.5, 'switch-s': 1 } }, { name: 'app', 'max-connections': 110 }],
-  limits: { 'max-header-bytes': 4_096, 'max-body-bytes': 100_000, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
-}
+const CONFIG = createFleetConfig({ host: SOAK_HOST, timeoutMs: 5_000, plain: { timeoutMs: 1_200, targetLatencyMs: 150 }, handleTtlS: 0.5, maxBodyBytes: 100_000 })
 
 /**
  * Starts the fleet: two entries, a prefill and two decode replicas with their
