--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterRefusals.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterRefusals.test.ts
@@ -80,6 +80,11 @@
   assert.ok(lost < 0.2 * promptsRead, `${lost} of ${promptsRead} in vain`)
 })
 
+test('where no run was ever taken, hardly any prompt is read', () => {
+  const { prompts, promptsRead } = playRefusals({ ...planOf(5, 60, 2), seconds: 6, refusedShare: () => 0, refusedRuns: () => 1 })
+  assert.ok(promptsRead < 0.2 * prompts.requests.length, `${promptsRead} of ${prompts.requests.length} read`)
+})
+
 test('once replicas take work again, prompts are read apart again', () => {
   const { asked, served } = playRefusals({ ...planOf(5, 60, 2), refusedShare: (atMs) => atMs >= 3_000 && atMs < 5_000 ? 1 : 0 })
   assert.ok(served > 0.85 * asked, `${served} of ${asked} served`)
--- a/packages/bendfall-router/src/__tests__/unit/RefusalWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/RefusalWorld.ts
@@ -10,6 +10,8 @@
   readonly perSecond: (atMs: number) => number
   /** Share of the arrivals that replicas refuse as not run. */
   readonly refusedShare: (atMs: number) => number
+  /** The same of runs alone, where it differs. */
+  readonly refusedRuns?: (atMs: number) => number
   readonly limits: BudgetLimits
   readonly seed: number
 }
@@ -111,7 +113,7 @@
   }
 
   private read (entry: number, key: string, attempt: number): void {
-    const isRefused = this.isRefused()
+    const isRefused = this.isRefused(this.plan.refusedShare)
     this.note(key, !isRefused)
     if (isRefused) return this.time.after(HOP_MS, () => this.reduce(entry, { type: 'prefill_answered', atMs: this.time.nowMs, key, attempt, outcome: { type: 'failed', failure: 'not_run' } }))
     this.promptsRead += 1
@@ -120,7 +122,7 @@
 
   private run (entry: number, { attempt, key, source }: RouterEffectOf<'send_run'>): void {
     this.note(key, false)
-    if (this.isRefused()) return this.time.after(HOP_MS, () => this.reduce(entry, { type: 'run_failed', atMs: this.time.nowMs, key, attempt, failure: 'not_run' }))
+    if (this.isRefused(this.plan.refusedRuns ?? this.plan.refusedShare)) return this.time.after(HOP_MS, () => this.reduce(entry, { type: 'run_failed', atMs: this.time.nowMs, key, attempt, failure: 'not_run' }))
     if (source !== undefined) this.promptsUsed += 1
     this.served += 1
     this.time.after(FIRST_EVENT_MS, () => this.reduce(entry, { type: 'answer_started', atMs: this.time.nowMs, key, attempt }))
@@ -133,7 +135,7 @@
     this.arrived.set(key, all)
   }
 
-  private isRefused (): boolean {
-    return this.time.draw() < this.plan.refusedShare(this.time.nowMs)
+  private isRefused (shareAt: (atMs: number) => number): boolean {
+    return this.time.draw() < shareAt(this.time.nowMs)
   }
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterRefusals.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRefusals.ts
@@ -70,6 +70,11 @@
 export function coverRuns (context: RouterContext, request: RequestState): boolean {
   const share = refusedShare(context, request.service)
   if (share <= LOST_SHARE) return true
-  const retries = Math.ceil(Math.log(LOST_SHARE) / Math.log(share)) - 1
+  const retries = retriesFor(share)
   return retries <= MOST_RETRIES && coverSends(context, request, 1 + retries)
 }
+
+// Further runs after which no more than the share of prompts that may be lost is left.
+function retriesFor (refused: number): number {
+  return refused >= 1 ? Infinity : Math.ceil(Math.log(LOST_SHARE) / Math.log(refused)) - 1
+}
