--- a/packages/bendfall-core/src/__tests__/unit/BendfallCoreEntryStall.test.ts
+++ b/packages/bendfall-core/src/__tests__/unit/BendfallCoreEntryStall.test.ts
@@ -128,4 +128,15 @@
   assert.is(session.last('send_prefill').ask.attempt, 4)
 })
 
+test('the last attempt, granted when the promise has just ended, has the prompt read anew', () => {
+  const session = arrived()
+  const instanceId = session.decode(1, MADE_AT_MS)
+  session.send({ type: 'transfer_progressed', atMs: 30, requestId: 'r1', attempt: 1, instanceId, transferredBytes: 100_000 })
+  for (const [attempt, atMs] of [[1, 342], [2, 600], [3, MADE_AT_MS + RESULT_LIFE_MS - 10]]) {
+    stall(session, attempt, atMs)
+    grantAttempt(session, attempt + 1, atMs + 15)
+  }
+  assert.is(session.all('send_prefill').length, 2)
+})
+
 test.run()
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryResult.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryResult.ts
@@ -64,16 +64,15 @@
 }
 
 /**
- * Forgets a result that may be gone. Its replica promised no more than its first life, and
- * the last attempt has no other to follow it.
+ * Goes by what its replica promised of a result, and no longer by what is likely: the last
+ * attempt has no other to follow it.
  *
  * @param language - the request, in its last attempt
- * @param atMs - monotonic time
- * @returns the request, with the result only while its replica promised to keep it
+ * @returns the request
  */
-export function keepPromisedResult (language: LanguageState, atMs: number): LanguageState {
-  const isPromised = language.result !== undefined && atMs < language.result.promisedUntilMs
-  return isPromised ? language : withoutResult(language)
+export function relyOnPromise (language: LanguageState): LanguageState {
+  const { result } = language
+  return result === undefined ? language : { ...language, result: { ...result, evictsAtMs: result.promisedUntilMs } }
 }
 
 /**
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
@@ -11,7 +11,7 @@
 import { cancelEffects, refuseLanguage } from './BendfallCoreEntryEnd.js'
 import { DEFAULT_RETRY_AFTER_MS, MAX_ATTEMPTS, RESUME_WAIT_MS, RETRY_BUDGET_MAX, RETRY_EARNED_PER_REQUEST } from './BendfallCoreEntryPolicy.js'
 import { askDecode } from './BendfallCoreEntryReserve.js'
-import { keepPromisedResult } from './BendfallCoreEntryResult.js'
+import { relyOnPromise } from './BendfallCoreEntryResult.js'
 import type { LanguageState } from './BendfallCoreEntryState.js'
 import { andThen, entryOf, putLanguage, recordOf, step, updateEntry } from './BendfallCoreEntryUpdate.js'
 
@@ -101,5 +101,5 @@
     failedIds,
     outputDueAtMs: hasOutput ? atMs + RESUME_WAIT_MS : language.outputDueAtMs
   }
-  return next.attempt === MAX_ATTEMPTS ? keepPromisedResult(next, atMs) : next
+  return next.attempt === MAX_ATTEMPTS ? relyOnPromise(next) : next
 }
