--- a/packages/bendfall-fakes/src/__tests__/process/BendfallFakesProofLeaving.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/BendfallFakesProofLeaving.test.ts
@@ -1,3 +1,9 @@
+// Once, on a machine that was busy with other tests, a chat of these tests was refused with outcome
+// unknown, reason prefill_lost. Decode engines that stand still take no byte of a prefill's result;
+// the entry believed after each stalled transfer that the result lives on, and its last attempt
+// fetched one that was gone. Made to come by stopping both engines: three `transfer_ended
+// result=transfer_stalled transferredBytes=0`, then `result=prefill_lost detail="source holds no
+// cache"`, 1.0 s after the only `prefill_ended`. BendfallCoreEntryStall has it in virtual time.
 import { setTimeout as pause } from 'node:timers/promises'
 import * as assert from 'uvu/assert'
 import { judgeBooking } from '../../BendfallFakesClusterCalls.js'
