--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -20,6 +20,10 @@
   readonly eventMs?: number
   /** Time of an answer without a prompt. */
   readonly answerMs?: number
+  /** Whether a request ends the process a short time after its run began. */
+  readonly crashesOn?: (request: SeenRequest) => boolean
+  /** Called once when the process has ended. */
+  readonly onCrash?: () => void
 }
 
 /** How a replica fails its next request. */
@@ -69,6 +73,8 @@
   readonly startedAtMs: () => number
   /** Starts again under its id and address: it knows nothing of before, and its connections are reset. */
   readonly restart: () => void
+  /** Ends the process: connections are reset and new ones refused. */
+  readonly crash: () => void
   /** Requests that run now. */
   readonly running: () => number
 }
@@ -77,6 +83,7 @@
 const FENCED_STATUS = 412
 const PREFILL_TOKENS_PER_MS = 100
 const TOKENS_PER_EVENT = 13
+const CRASH_AFTER_MS = 30
 
 interface Run {
   tokens: number
@@ -90,7 +97,7 @@
  * @returns the stand-in once it listens
  */
 export async function startFleetReplica (options: FleetReplicaOptions): Promise<FleetReplica> {
-  const { answerMs = 0, eventMs = 5, events = 6, memoryTokens = 20_000, replicaId } = options
+  const { answerMs = 0, crashesOn = () => false, eventMs = 5, events = 6, memoryTokens = 20_000, onCrash = () => {}, replicaId } = options
   const seen: SeenRequest[] = []
   const orders: SeenOrder[] = []
   const runs = new Map<string, Run>()
@@ -98,6 +105,7 @@
   const faults: FleetReplicaFault[] = []
   const secondAnswers = new WeakMap<Socket, string>()
   let isAnsweringTwice = false
+  let hasCrashed = false
   let { stage } = options
   let nextHandle = 1
   let startedAtMs = Date.now()
@@ -160,6 +168,7 @@
 
   function run (request: IncomingMessage, body: Buffer, response: ServerResponse): void {
     const one = note(request, body, response, 'run')
+    if (crashesOn(one)) setTimeout(crash, CRASH_AFTER_MS)
     const fault = faults.shift()
     if (fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) {
       one.isRefused = true
@@ -197,6 +206,14 @@
     response.once('finish', () => clearInterval(timer))
   }
 
+  function crash (): void {
+    if (hasCrashed) return
+    hasCrashed = true
+    server.stop()
+    runs.clear()
+    onCrash()
+  }
+
   function restart (): void {
     // Restarts within one millisecond are two incarnations as well.
     startedAtMs = Math.max(Date.now(), startedAtMs + 1)
@@ -239,6 +256,7 @@
     stage: () => stage,
     startedAtMs: () => startedAtMs,
     restart,
+    crash,
     running: () => runs.size,
     failNext: (fault) => { faults.push(fault) },
     answerTwice: () => { isAnsweringTwice = true },
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetServer.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetServer.ts
@@ -13,6 +13,8 @@
   readonly address: string
   /** Resets all connections, as the end of the process does. */
   readonly resetAll: () => void
+  /** Listens no longer and resets all connections: new ones are refused. */
+  readonly stop: () => void
   readonly close: () => Promise<void>
 }
 
@@ -37,10 +39,15 @@
     sockets.add(socket)
     socket.once('close', () => sockets.delete(socket))
   })
+  const resetAll = (): void => { for (const socket of sockets) socket.resetAndDestroy() }
   await new Promise<void>((resolve) => server.listen(0, host, resolve))
   return {
     address: `${host}:${(server.address() as AddressInfo).port}`,
-    resetAll: () => { for (const socket of sockets) socket.resetAndDestroy() },
+    resetAll,
+    stop: () => {
+      server.close()
+      resetAll()
+    },
     close: () => new Promise((resolve) => {
       server.close(() => resolve())
       server.closeAllConnections()
