--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -66,6 +66,10 @@
    * its connection and before that one's answer.
    */
   readonly answerTwice: () => void
+  /** From now on each answer says that the replica leaves. */
+  readonly sayLeaving: () => void
+  /** Refuses all requests as not run, and asks for so many seconds of rest; 0 ends it. */
+  readonly askForRest: (seconds: number) => void
   /** Forgets faults that no request met, and answers once. */
   readonly heal: () => void
   readonly stage: () => string | undefined
@@ -106,6 +110,8 @@
   const secondAnswers = new WeakMap<Socket, string>()
   let isAnsweringTwice = false
   let hasCrashed = false
+  let isLeaving = false
+  let restS = 0
   let { stage } = options
   let nextHandle = 1
   let startedAtMs = Date.now()
@@ -150,7 +156,7 @@
   }
 
   function refuse (request: IncomingMessage, response: ServerResponse): void {
-    answer(request, response, 503, '{}', { 'x-not-executed': '1', 'x-instance-id': replicaId })
+    answer(request, response, 503, '{}', { 'x-not-executed': '1', 'x-instance-id': replicaId, ...(restS > 0 ? { 'retry-after': String(restS) } : {}) })
   }
 
   function misdirect (request: IncomingMessage, response: ServerResponse): void {
@@ -159,6 +165,10 @@
 
   function prefill (request: IncomingMessage, body: Buffer, response: ServerResponse): void {
     const one = note(request, body, response, 'prefill')
+    if (restS > 0) {
+      one.isRefused = true
+      return refuse(request, response)
+    }
     const handle = `${replicaId}-${nextHandle++}`
     handles.add(handle)
     one.handle = handle
@@ -173,7 +183,7 @@
       return
     }
     const fault = faults.shift()
-    if (fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) {
+    if (restS > 0 || fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) {
       one.isRefused = true
       return refuse(request, response)
     }
@@ -221,6 +231,8 @@
     // Restarts within one millisecond are two incarnations as well.
     startedAtMs = Math.max(Date.now(), startedAtMs + 1)
     stage = options.stage
+    isLeaving = false
+    restS = 0
     faults.length = 0
     handles.clear()
     server.resetAll()
@@ -238,6 +250,7 @@
   const server = await startFleetServer(options.host, (request, body, response) => {
     const path = request.url ?? '/'
     sendSecondAnswer(request)
+    if (isLeaving) response.setHeader('server-leaving', '1')
     if (path === '/api/report') return report(response)
     if (path.startsWith('/api/kv-handle/')) {
       handles.delete(path.slice('/api/kv-handle/'.length))
@@ -262,10 +275,13 @@
     crash,
     running: () => runs.size,
     failNext: (fault) => { faults.push(fault) },
+    sayLeaving: () => { isLeaving = true },
+    askForRest: (seconds) => { restS = seconds },
     answerTwice: () => { isAnsweringTwice = true },
     heal: () => {
       faults.length = 0
       isAnsweringTwice = false
+      restS = 0
     }
   }
 }
