Heed what replicas say of themselves in any answer

Callers' requests reached a replica 2.5 s and more after it had said that it leaves, while the store was silent, and four to six requests of an entry reached a replica within 3 s of rest that it had asked for; prompts were read meanwhile for runs that all replicas refused.

Cause: the head of an answer was decoded for what it says of the request, never of the replica, so that the registrations alone told who leaves, and a refusal told nothing beyond its request. Class: one list for preference and prohibition (a suspect is used when nobody else is left), so that even a known word would have yielded.

Mend: the adapter decodes Server-Leaving and the Retry-After of a 503 from heads of runs, prefills, holds, orders and reports; the notice belongs to one process. A replica that leaves or backs off is no candidate at all, and paySend, through which each prefill and run passes, refuses it also for what was booked or granted before. Ledgers tell entries that their replica leaves. While all that could run a request back off, it is refused at once with the shortest time left, and no prompt is queued, booked or read.

--- a/packages/bendfall-edge/src/BendfallEdgeDialect.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeDialect.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { KeyValueEntry } from 'bendfall-platform'
-import type { HoldOutcome, OrderOutcome, Prompt, Replica, ReplicaStage, RouterConfig } from 'bendfall-router'
+import type { HoldOutcome, OrderOutcome, Prompt, Replica, ReplicaNotice, ReplicaStage, RouterConfig } from 'bendfall-router'
 import type { Result } from 'ts-results-es'
 import type { ReplicaCallRequest } from './replica/BendfallEdgeReplicaCall.js'
 
@@ -72,6 +72,8 @@
   readonly isWrongReplica: boolean
   /** The replica vouches for the answer. */
   readonly isSigned: boolean
+  /** What the replica says of itself. */
+  readonly notice: ReplicaNotice
 }
 
 /** A method and path without a body. */
@@ -98,6 +100,8 @@
   readonly active: number
   /** Whether the replica changes its stage now. */
   readonly isSwitching: boolean
+  /** Whether the replica says that it leaves. */
+  readonly isLeaving: boolean
   readonly runs: readonly EngineRun[]
 }
 
@@ -131,7 +135,7 @@
   readonly readOrderStatus: (status: number) => OrderOutcome
   readonly report: PlainCall
   /** @returns the load, or what is wrong with the body */
-  readonly readReport: (body: Buffer) => Result<EngineReport, string>
+  readonly readReport: (body: Buffer, headers: IncomingHttpHeaders) => Result<EngineReport, string>
 }
 
 /** Entries of the platform's key-value service. */
--- a/packages/bendfall-edge/src/__tests__/unit/ScriptedReplica.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/ScriptedReplica.ts
@@ -112,7 +112,8 @@
     requestId: headers['x-id'] as string | undefined,
     isNotRun: headers['x-not-run'] !== undefined,
     isWrongReplica: status === WRONG_REPLICA_STATUS,
-    isSigned: headers['x-signed'] !== undefined
+    isSigned: headers['x-signed'] !== undefined,
+    notice: { isLeaving: false }
   }),
   readPrefillResult: (body) => body.length === 0 ? Err('empty') : Ok(body.toString()),
   freeHandle: (handle) => ({ method: 'DELETE', path: `/handle/${handle}` }),
@@ -126,5 +127,5 @@
 }
 
 function reportOf (usedTokens: number): EngineReport {
-  return { stage: 'decode', usedTokens, capacityTokens: 20_000, queued: 0, active: usedTokens > 0 ? 1 : 0, isSwitching: false, runs: [] }
+  return { stage: 'decode', usedTokens, capacityTokens: 20_000, queued: 0, active: usedTokens > 0 ? 1 : 0, isSwitching: false, isLeaving: false, runs: [] }
 }
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
@@ -45,6 +45,7 @@
     replicaId,
     stage: STAGES.has(message.stage) ? message.stage as ReplicaStage : undefined,
     isHealthy: message.healthy,
+    isLeaving: message.leaving,
     capacityTokens: message.capacityTokens,
     roomTokens: message.roomTokens,
     backlogTokens: message.backlogTokens
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReportCalls.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReportCalls.ts
@@ -9,6 +9,7 @@
 import { createConnectionPool } from '../replica/BendfallEdgeConnections.js'
 import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
 import { startOwnCall } from '../replica/BendfallEdgeOwnCall.js'
+import type { OwnCallOutcome } from '../replica/BendfallEdgeOwnCall.js'
 
 /** A report later than this is a failure. */
 const REPORT_TIMEOUT_MS = 400
@@ -60,11 +61,11 @@
   let asked = 0
   let isClosed = false
 
-  function toReport (bodies: Set<string>, status: number, body: Buffer): ReadReport | undefined {
+  function toReport (bodies: Set<string>, { body, headers, status }: Extract<OwnCallOutcome, { readonly type: 'answered' }>): ReadReport | undefined {
     const text = body.toString('latin1')
     const isRepeat = bodies.has(text)
     bodies.add(text)
-    const report = status === OK_STATUS ? dialect.readReport(body).unwrapOr(undefined) : undefined
+    const report = status === OK_STATUS ? dialect.readReport(body, headers).unwrapOr(undefined) : undefined
     return report === undefined ? undefined : { report, isRepeat }
   }
 
@@ -73,7 +74,7 @@
     const request = { ...dialect.report, headers: [], requestId: `report-${asked}` }
     return new Promise((resolve) => {
       startOwnCall(pool, request, { clock, timeoutMs: REPORT_TIMEOUT_MS, maxBytes: REPORT_BYTES }, (answer) => {
-        resolve(answer.type === 'answered' ? toReport(bodies, answer.status, answer.body) : undefined)
+        resolve(answer.type === 'answered' ? toReport(bodies, answer) : undefined)
       })
     })
   }
--- a/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
@@ -9,6 +9,7 @@
 import type { OrderOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
 import type { ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { ConnectionPool } from '../replica/BendfallEdgeConnections.js'
+import { tellOwnNotice } from '../replica/BendfallEdgeNotices.js'
 import { startOwnCall } from '../replica/BendfallEdgeOwnCall.js'
 import { joinElection } from './BendfallEdgeHolderLease.js'
 
@@ -55,6 +56,7 @@
   function order ({ address, fence, replicaId, stage }: RouterEffectOf<'order_stage'>): void {
     const request = dialect.stageOrder({ replicaId, stage, fence, holder: instanceId })
     startOwnCall(poolOf(address), request, { clock: loop.clock, timeoutMs: ORDER_TIMEOUT_MS }, (answer) => {
+      if (answer.type === 'answered') tellOwnNotice(options, replicaId, answer)
       takeOutcome(replicaId, answer.type === 'answered' ? dialect.readOrderStatus(answer.status) : answer.isSent ? 'unknown' : 'refused')
     })
   }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
@@ -8,6 +8,7 @@
 import type { HoldOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
 import type { ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
+import { tellOwnNotice } from './BendfallEdgeNotices.js'
 import { startIgnoredCall, startOwnCall } from './BendfallEdgeOwnCall.js'
 
 /** What holds need. */
@@ -29,6 +30,7 @@
 
   function take (effect: RouterEffectOf<'take_hold'>): void {
     startOwnCall(poolOf(effect.address), dialect.takeHold(effect), { clock: loop.clock, timeoutMs: effect.timeoutMs }, (answer) => {
+      if (answer.type === 'answered') tellOwnNotice(options, effect.replicaId, answer)
       const outcome: HoldOutcome = answer.type === 'answered' ? dialect.readHoldAnswer(answer.status, answer.body) : { type: 'unanswered' }
       loop.dispatch({ type: 'hold_answered', key: effect.key, attempt: effect.attempt, outcome })
     })
--- a/packages/bendfall-edge/src/replica/BendfallEdgeOwnCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeOwnCall.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Clock, Teardown } from 'bendfall-node'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
@@ -17,7 +18,7 @@
 
 /** What came of a call. */
 export type OwnCallOutcome =
-  | { readonly type: 'answered', readonly status: number, readonly body: Buffer }
+  | { readonly type: 'answered', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
   /** `isSent`: bytes of the call may have reached the replica. */
   | { readonly type: 'unanswered', readonly isSent: boolean }
 
@@ -44,16 +45,20 @@
   const chunks: Buffer[] = []
   let bytes = 0
   let status = 0
+  let headers: IncomingHttpHeaders = {}
   let isOver = false
   let cancel: Teardown = () => {}
 
   const call = startReplicaCall(pool, request, {
-    onHead: (answered) => { status = answered },
+    onHead: (answeredStatus, answeredHeaders) => {
+      status = answeredStatus
+      headers = answeredHeaders
+    },
     onChunk: (chunk) => {
       bytes += chunk.length
       if (bytes <= maxBytes) chunks.push(chunk)
     },
-    onEnd: () => finish({ type: 'answered', status, body: Buffer.concat(chunks) }),
+    onEnd: () => finish({ type: 'answered', status, headers, body: Buffer.concat(chunks) }),
     onFail: (_, isSent) => finish({ type: 'unanswered', isSent })
   })
   if (isOver) return
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -13,6 +13,7 @@
 import type { IdentifiedListener } from './BendfallEdgeAnswerIdentity.js'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { startIgnoredCall } from './BendfallEdgeOwnCall.js'
+import { tellNotice } from './BendfallEdgeNotices.js'
 import { createPrefillListener } from './BendfallEdgePrefillListener.js'
 import type { ReplicaCall } from './BendfallEdgeReplicaCall.js'
 import { ConnectionResetError } from './BendfallEdgeReplicaSocket.js'
@@ -27,6 +28,9 @@
   readonly poolOf: (address: string) => ConnectionPool
 }
 
+/** An effect that sends a request. */
+type SendEffect = RouterEffectOf<'send_run'> | RouterEffectOf<'send_prefill'>
+
 interface Send extends RunSend {
   readonly call: ReplicaCall
   readonly cancelTimeout: Teardown
@@ -51,7 +55,7 @@
     send?.call.abort()
   }
 
-  function start (key: string, attempt: number, address: string, headers: RawHeaders, tryTimeoutMs: number | undefined, listener: IdentifiedListener): void {
+  function start ({ address, attempt, key, replicaId, tryTimeoutMs }: SendEffect, headers: RawHeaders, listener: IdentifiedListener): void {
     const exchange = exchanges.get(key)
     if (exchange === undefined) return
     abort(key)
@@ -59,14 +63,21 @@
     const { forwardHeaders, requestId } = exchange.caller
     const request = { method, path: url, headers: [...forwardHeaders, ...headers], body: exchange.body, requestId }
     const cancelTimeout = scheduleTimeout(loop.clock, tryTimeoutMs, () => loop.dispatch({ type: 'try_timed_out', key, attempt }))
-    const call = startIdentifiedCall(options, poolOf(address), request, listener)
+    const call = startIdentifiedCall(options, poolOf(address), request, {
+      ...listener,
+      onHead: (status, answerHeaders, head) => {
+        // Before the failure that the head may tell: the next try must not go there.
+        tellNotice(options, replicaId, head)
+        listener.onHead(status, answerHeaders, head)
+      }
+    })
     sends.set(key, { call, cancelTimeout, fail: () => listener.onFail(new ConnectionResetError('the process of the replica ended'), true) })
   }
 
   function sendRun (effect: RouterEffectOf<'send_run'>): void {
     const exchange = exchanges.get(effect.key)
     if (exchange === undefined) return
-    start(effect.key, effect.attempt, effect.address, dialect.runHeaders(effect), effect.tryTimeoutMs, createRunListener({ ...options, send: () => sends.get(effect.key) }, effect, exchange))
+    start(effect, dialect.runHeaders(effect), createRunListener({ ...options, send: () => sends.get(effect.key) }, effect, exchange))
   }
 
   function sendPrefill (effect: RouterEffectOf<'send_prefill'>): void {
@@ -75,7 +86,7 @@
       sends.get(key)?.cancelTimeout()
       loop.dispatch({ type: 'prefill_answered', key, attempt, outcome })
     })
-    start(key, attempt, effect.address, dialect.prefillHeaders(effect), effect.tryTimeoutMs, listener)
+    start(effect, dialect.prefillHeaders(effect), listener)
   }
 
   return combineTeardowns([
--- a/packages/bendfall-router/src/BendfallRouterTypes.ts
+++ b/packages/bendfall-router/src/BendfallRouterTypes.ts
@@ -114,6 +114,8 @@
   /** Absent while the replica has not answered. */
   readonly stage?: ReplicaStage
   readonly isHealthy: boolean
+  /** Whether the replica says that it leaves; absent: its ledger does not tell. */
+  readonly isLeaving?: boolean
   readonly capacityTokens: number
   /** Smallest room from each of {@link ROOM_HORIZONS_MS} on, queue included. */
   readonly roomTokens: readonly number[]
--- a/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
+import { backoffLeftMs, hasSaidLeaving } from '../notices/BendfallRouterNotices.js'
 import type { Replica, ReplicaStage } from '../BendfallRouterTypes.js'
 import type { SendFailure } from './BendfallRouterEvents.js'
 import type { RouterContext } from './BendfallRouterContext.js'
@@ -73,7 +75,8 @@
 }
 
 /**
- * Tells whether a replica leaves, so that it gets no new work. One whose registration is
+ * Tells whether a replica leaves, so that it gets no new work: its registration says so, or
+ * it has said so itself, which may be known while the service is away. One whose registration is
  * missing after an outage counts as leaving while most replicas are registered: a few
  * that are missing left, many lapsed in the outage and will be back.
  *
@@ -82,7 +85,7 @@
  * @returns true when it gets no new work
  */
 export function isLeaving (state: RouterState, { replica }: ReplicaBelief): boolean {
-  return replica.isDraining || (state.missing.has(replica.replicaId) && !haveLapsed(state))
+  return replica.isDraining || hasSaidLeaving(state.notices, nameProcess(replica)) || (state.missing.has(replica.replicaId) && !haveLapsed(state))
 }
 
 // Of all replicas, not of a pool: the only prefill replica of a service may leave, while
@@ -93,7 +96,7 @@
 
 /**
  * Replicas that a request may be sent to. Those under suspicion count only
- * when no other is left.
+ * when no other is left; those that back off don't count at all.
  *
  * @param context - of the event
  * @param request - the request
@@ -102,7 +105,7 @@
  */
 export function usableReplicas ({ nowMs, state }: RouterContext, request: RequestState, stage: ReplicaStage): ReplicaBelief[] {
   const open = (state.usedByService.get(request.service) ?? []).filter((belief) =>
-    !isLeaving(state, belief) && stageOf(belief) === stage && !request.excluded.has(belief.replica.replicaId))
+    !isLeaving(state, belief) && backoffLeftMs(state.notices, nameProcess(belief.replica), nowMs) === 0 && stageOf(belief) === stage && !request.excluded.has(belief.replica.replicaId))
   if (state.decisions.suspicion === 'off') return open
   const trusted = open.filter((belief) => belief.suspectUntilMs <= nowMs && !isSick(belief, nowMs) && !isStalled(belief, request.route.name, nowMs))
   return trusted.length > 0 ? trusted : open
--- a/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
@@ -9,7 +9,7 @@
 /** Why a request ended without a replica's answer. */
 export type EndReason =
   | 'no_config' | 'no_route' | 'no_replica' | 'no_memory' | 'prefill_busy' | 'too_large' | 'stopping'
-  | 'deadline' | 'replica_refused' | 'replica_failed' | 'budget' | 'caller_left' | 'crashes_replicas'
+  | 'deadline' | 'replica_refused' | 'replica_failed' | 'budget' | 'caller_left' | 'crashes_replicas' | 'replicas_back_off'
 
 /** Values of a log line. */
 export type DecisionInputs = Readonly<Record<string, string | number | boolean | undefined>>
--- a/packages/bendfall-router/src/entry/BendfallRouterEnd.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEnd.ts
@@ -7,6 +7,7 @@
 import { logDecision } from './BendfallRouterContext.js'
 import type { DecisionInputs, EndReason } from './BendfallRouterEffects.js'
 import { noteUnanswered } from './BendfallRouterStalls.js'
+import { isBackingOff } from './BendfallRouterNotice.js'
 import { leaveHold } from './BendfallRouterHold.js'
 import { leavePromises } from './BendfallRouterSend.js'
 import type { RequestState } from './BendfallRouterState.js'
@@ -78,9 +79,11 @@
  * @param context - of the event
  * @param request - the request
  */
-export function leaveHandle ({ effects }: RouterContext, request: RequestState): void {
+export function leaveHandle (context: RouterContext, request: RequestState): void {
   if (request.handle === undefined) return
-  effects.push({ type: 'free_handle', address: request.handle.address, handle: request.handle.handle })
+  const { address, handle, replicaId } = request.handle
+  // It lapses by itself where the replica wants no call.
+  if (!isBackingOff(context, replicaId)) context.effects.push({ type: 'free_handle', address, handle })
   request.handle = undefined
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CrashReport } from '../crashes/BendfallRouterCrashRecords.js'
+import type { ReplicaNotice } from '../notices/BendfallRouterNotices.js'
 import type { Prompt, Replica, ReplicaLoad, RouterConfig } from '../BendfallRouterTypes.js'
 
 /** What a caller asks for. */
@@ -97,6 +98,8 @@
   | { readonly type: 'try_timed_out', readonly key: string, readonly attempt: number }
   /** A tick of the balance of pools; `fence` is there while this process holds the lease on them. */
   | { readonly type: 'balance_due', readonly fence?: number }
+  /** A replica said something of itself in the head of an answer, whatever was asked. */
+  | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice }
   /** Answer to a check of a replica on which a connection was lost. */
   | { readonly type: 'replica_checked', readonly replicaId: string, readonly startedAtMs?: number, readonly outcome: ProcessCheck }
   /** What an entry has seen of crashes, this one before it started again among them. */
--- a/packages/bendfall-router/src/entry/BendfallRouterHold.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterHold.ts
@@ -10,6 +10,7 @@
 import { noteFailure } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
+import { isBackingOff } from './BendfallRouterNotice.js'
 import type { HoldOutcome } from './BendfallRouterEvents.js'
 import type { ReplicaBelief, RequestState } from './BendfallRouterState.js'
 
@@ -60,7 +61,7 @@
   const replicaId = request.reservedAt ?? ''
   logDecision(context, request, `hold_${outcome.type}`, { replica: replicaId })
   const belief = context.state.replicas.get(replicaId)
-  if (outcome.type === 'held') request.hold = { address: belief?.replica.address ?? '', holdId: outcome.holdId }
+  if (outcome.type === 'held') request.hold = { replicaId, address: belief?.replica.address ?? '', holdId: outcome.holdId }
   if (outcome.type === 'unanswered' && belief !== undefined) noteFailure(belief, context.nowMs)
   return outcome.type === 'held' || outcome.type === 'not_offered'
 }
@@ -71,8 +72,10 @@
  * @param context - of the event
  * @param request - the request
  */
-export function leaveHold ({ effects }: RouterContext, request: RequestState): void {
+export function leaveHold (context: RouterContext, request: RequestState): void {
   if (request.hold === undefined) return
-  effects.push({ type: 'drop_hold', ...request.hold })
+  const { replicaId, ...hold } = request.hold
+  // It lapses by itself where the replica wants no call.
+  if (!isBackingOff(context, replicaId)) context.effects.push({ type: 'drop_hold', ...hold })
   request.hold = undefined
 }
--- /dev/null
+++ b/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
@@ -0,0 +1,79 @@
+/**
+ * Follows what replicas say of themselves, and says which of them may be sent anything at
+ * all. That is a prohibition, not a preference: it holds where nothing else is left, and
+ * for what was booked or granted before the replica spoke.
+ *
+ * @module
+ */
+import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
+import { backoffLeftMs, takeNotice } from '../notices/BendfallRouterNotices.js'
+import { isLeaving } from './BendfallRouterBelief.js'
+import type { NextStep, RouterContext } from './BendfallRouterContext.js'
+import type { RouterEventOf } from './BendfallRouterEvents.js'
+import type { ReplicaBelief, RequestState } from './BendfallRouterState.js'
+import { chooseSubset } from './BendfallRouterSubset.js'
+
+/**
+ * Takes what a replica said of itself, in the head of an answer or to the ledger beside it.
+ *
+ * @param context - of the event
+ * @param event - the notice
+ */
+export function takeReplicaNotice (context: RouterContext, { notice, replicaId }: Pick<RouterEventOf<'replica_spoke'>, 'notice' | 'replicaId'>): void {
+  const { effects, nowMs, state } = context
+  const replica = state.replicas.get(replicaId)?.replica
+  if (replica === undefined) return
+  const change = takeNotice(state.notices, nameProcess(replica), notice, nowMs)
+  if (change === 'nothing') return
+  effects.push({ type: 'log', decision: change === 'leaves' ? 'replica_says_leaving' : 'replica_backs_off', requestId: '', inputs: { replica: replicaId, backoffMs: notice.backoffMs } })
+  if (change !== 'leaves') return
+  state.isSubsetStale = true
+  chooseSubset(state)
+}
+
+/**
+ * Tells whether a replica wants no call at all for a time.
+ *
+ * @param context - of the event
+ * @param replicaId - of the replica
+ * @returns true within its backoff
+ */
+export function isBackingOff ({ nowMs, state }: RouterContext, replicaId: string): boolean {
+  const replica = state.replicas.get(replicaId)?.replica
+  return replica !== undefined && backoffLeftMs(state.notices, nameProcess(replica), nowMs) > 0
+}
+
+/**
+ * Tells whether a replica may be sent anything now.
+ *
+ * @param context - of the event
+ * @param belief - about the replica
+ * @returns false for one that leaves or backs off
+ */
+export function isOpen (context: RouterContext, belief: ReplicaBelief): boolean {
+  return !isLeaving(context.state, belief) && !isBackingOff(context, belief.replica.replicaId)
+}
+
+/**
+ * Refuses a request at once when replicas could serve it but for their backoff: when the
+ * first of them ends is known.
+ *
+ * @param context - of the event
+ * @param request - the request
+ * @param stage - pool that is needed
+ * @returns its end; undefined when a replica is open, or none backs off
+ */
+export function refuseBackoff (context: RouterContext, request: RequestState, stage: 'decode' | 'plain'): NextStep {
+  const { nowMs, state } = context
+  const staying = (state.usedByService.get(request.service) ?? []).filter((belief) => stageIs(belief, stage) && !isLeaving(state, belief))
+  const left = staying.map(({ replica }) => backoffLeftMs(state.notices, nameProcess(replica), nowMs))
+  const retryAfterMs = Math.min(...left.filter((ms) => ms > 0))
+  const isAnyOpen = staying.some(({ replica }, index) => left[index] === 0 && !request.excluded.has(replica.replicaId))
+  if (isAnyOpen || retryAfterMs === Infinity) return undefined
+  if (request.isCommitted) return { type: 'cut', reason: 'replicas_back_off' }
+  return { type: 'refuse', status: request.runs > 0 ? 502 : 503, reason: 'replicas_back_off', retryAfterMs }
+}
+
+function stageIs ({ load, replica }: ReplicaBelief, stage: 'decode' | 'plain'): boolean {
+  return replica.stage === 'plain' ? stage === 'plain' : (load?.stage ?? replica.stage) === stage
+}
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -9,6 +9,7 @@
 import { noteConnectionLost } from './BendfallRouterCrashes.js'
 import { endAnswered, leaveRun } from './BendfallRouterEnd.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
+import { refuseBackoff } from './BendfallRouterNotice.js'
 import { hasNotRun, mayRunAgain, takeRetry } from './BendfallRouterRetry.js'
 import { noteSendFailed, paySend, refuseUnpaid, sendRun } from './BendfallRouterSend.js'
 import { noteAnswered, noteUnanswered } from './BendfallRouterStalls.js'
@@ -41,10 +42,10 @@
  */
 export function startPlain (context: RouterContext, request: RequestState): NextStep {
   const belief = chooseReplica(context, request)
-  if (belief === undefined) return { type: 'refuse', status: 503, reason: 'no_replica', retryAfterMs: NO_REPLICA_RETRY_MS }
+  if (belief === undefined) return refuseBackoff(context, request, request.route.hasPrompt ? 'decode' : 'plain') ?? { type: 'refuse', status: 503, reason: 'no_replica', retryAfterMs: NO_REPLICA_RETRY_MS }
   const { address, replicaId } = belief.replica
-  const payment = paySend(context, request)
-  if (payment === undefined) return refuseUnpaid(request)
+  const payment = paySend(context, request, belief)
+  if (payment === 'closed' || payment === 'unpaid') return refuseUnpaid(request)
   noteSent(context, request, belief, 'plain')
   sendRun(context, request, payment, {
     key: request.key,
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -8,6 +8,7 @@
 import { balancePools, isIdle, refillPools } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolMember, StageChange } from '../pools/BendfallRouterPoolBalance.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
+import { isOpen } from './BendfallRouterNotice.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
@@ -145,14 +146,15 @@
   context.effects.push({ type: 'log', decision: 'stage_ordered', requestId: '', inputs: { replica: replicaId, stage, fence, prefillWork: round(work.prefill), decodeWork: round(work.decode), readings } })
 }
 
-function toMember ({ nowMs, state }: RouterContext, belief: ReplicaBelief): PoolMember {
+function toMember (context: RouterContext, belief: ReplicaBelief): PoolMember {
+  const { nowMs, state } = context
   const { load, replica, suspectUntilMs } = belief
   return {
     replicaId: replica.replicaId,
     availabilityZone: replica.availabilityZone,
     stage: stageOf(belief),
     // One that was not asked yet counts as well.
-    isServing: load?.isHealthy !== false && !isLeaving(state, belief) && suspectUntilMs <= nowMs,
+    isServing: load?.isHealthy !== false && isOpen(context, belief) && suspectUntilMs <= nowMs,
     isLeaving: isLeaving(state, belief)
   }
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -48,9 +48,9 @@
     request.reading = 'in_place_only'
     return { type: 'run' }
   }
-  const payment = paySend(context, request)
-  if (payment === undefined) return refuseUnpaid(request)
   const { belief, leadMs } = plan
+  const payment = paySend(context, request, belief)
+  if (payment === 'closed' || payment === 'unpaid') return refuseUnpaid(request)
   const { address, replicaId } = belief.replica
   request.phase = 'prefill'
   request.attempt += 1
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefillQueue.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefillQueue.ts
@@ -11,6 +11,7 @@
 import { leavePrefillSlot } from './BendfallRouterEnd.js'
 import type { ReserveOutcome } from './BendfallRouterEvents.js'
 import { askLoads, knownReplicas } from './BendfallRouterLoads.js'
+import { refuseBackoff } from './BendfallRouterNotice.js'
 import { backlogOf, ownLeadMs, planPrefill } from './BendfallRouterPrefillPlan.js'
 import { canReadNow, chooseReading } from './BendfallRouterReading.js'
 import { coverRuns, refusedShare } from './BendfallRouterRefusals.js'
@@ -33,6 +34,8 @@
  */
 export function startQueue (context: RouterContext, request: RequestState): NextStep {
   if (askLoads(context, request, 'queue')) return undefined
+  const refused = refuseBackoff(context, request, 'decode')
+  if (refused !== undefined) return refused
   request.reading = chooseReading(context, request)
   if (request.reading === 'apart' && !coverRuns(context, request)) return avoidReading(context, request)
   const plan = planPrefill(context, request)
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -11,6 +11,7 @@
 import { endCancelled, endCut, endRefused } from './BendfallRouterEnd.js'
 import type { RouterEvent, RouterEventOf } from './BendfallRouterEvents.js'
 import { clearCrashes, noteRequestServed, refuseCause, takeCrashReport, takeReplicaCheck, tellCrashes } from './BendfallRouterCrashes.js'
+import { takeReplicaNotice } from './BendfallRouterNotice.js'
 import { startPlain, takePlainAnswer, takePlainFailure } from './BendfallRouterPlain.js'
 import { balance, takeOrderAnswer } from './BendfallRouterPools.js'
 import { startPrefill, takePrefillAnswer, takePrefillFailure } from './BendfallRouterPrefill.js'
@@ -93,6 +94,7 @@
     belief.loadAtMs = event.atMs
     belief.bookedSinceLoad = 0
     belief.prefillSinceLoad = 0
+    if (event.load.isLeaving === true) takeReplicaNotice(context, { replicaId: event.load.replicaId, notice: { isLeaving: true } })
   },
   loads_answered: (context, event) => withAttempt(context, event, ({ afterLoads, phase }) =>
     phase === 'loads' && afterLoads !== undefined ? { type: afterLoads } : undefined),
@@ -101,6 +103,7 @@
     takePrefillAnswer(context, request, event.outcome, handleTtlMs(context.state, request))),
   prefill_queue_answered: (context, event) => inPhase(context, event, 'queue', (request) => takeQueueAnswer(context, request, event.outcome)),
   replica_checked: takeReplicaCheck,
+  replica_spoke: takeReplicaNotice,
   replicas_missing: (context, event) => noteMissing(context, event.replicaIds),
   replicas_current: (context) => { context.state.replicasCurrentAtMs = context.nowMs },
   replicas_refreshed: (context) => { for (const { request, step } of unpark(context)) advance(context, request, { type: step }) },
--- a/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
@@ -14,6 +14,7 @@
 import { askLoads, knownReplicas } from './BendfallRouterLoads.js'
 import { chooseOption, expectedTokens, hintOf } from './BendfallRouterMemoryOptions.js'
 import type { MemoryOption } from './BendfallRouterMemoryOptions.js'
+import { isOpen, refuseBackoff } from './BendfallRouterNotice.js'
 import { planPrefill } from './BendfallRouterPrefillPlan.js'
 import { canReadNow, FIRST_EVENT_MS, readInPlaceMs } from './BendfallRouterReading.js'
 import type { RequestState } from './BendfallRouterState.js'
@@ -61,7 +62,7 @@
 
 function reserveRoom (context: RouterContext, request: RequestState): NextStep {
   const decodes = knownReplicas(context, request, 'decode')
-  if (decodes.length === 0) return refuseMemory(context, request, NO_REPLICA_RETRY_MS, 'no_replica')
+  if (decodes.length === 0) return refuseBackoff(context, request, 'decode') ?? refuseMemory(context, request, NO_REPLICA_RETRY_MS, 'no_replica')
   const plan = planPrefill(context, request)
   const leadMs = request.handle !== undefined ? 0 : plan?.leadMs ?? 0
   const maxWaitMs = longestWaitMs(context, request, leadMs)
@@ -87,7 +88,7 @@
   if (outcome.type === 'granted') return goOn(request)
   if (outcome.type === 'unreachable') {
     if (belief !== undefined) noteLedgerLost(belief, context.nowMs)
-    if (belief === undefined) return askAgain(context, request)
+    if (belief === undefined || !isOpen(context, belief)) return askAgain(context, request)
     return startHold(context, request, belief, expectedTokens(request), request.handle === undefined ? planPrefill(context, request)?.leadMs ?? readInPlaceMs(context.state, request) : 0)
   }
   if (outcome.type === 'replica_lost') return leaveLost(context, request, replicaId)
--- a/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Replica } from '../BendfallRouterTypes.js'
+import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
 import { noteProcessGone } from './BendfallRouterCrashes.js'
 import { removeReplica } from './BendfallRouterMembers.js'
 import type { RouterContext } from './BendfallRouterContext.js'
@@ -20,7 +21,11 @@
 export function endFormerIncarnation (context: RouterContext, replica: Replica): void {
   const { effects, state } = context
   const former = state.replicas.get(replica.replicaId)?.replica
-  if (former !== undefined) noteProcessGone(context, former)
+  if (former !== undefined) {
+    noteProcessGone(context, former)
+    // Without its start the name of the new process is the same.
+    state.notices.delete(nameProcess(former))
+  }
   const wasKnown = removeReplica(state, replica.replicaId)
   if (wasKnown) forgetOrders(context, replica)
   let ended = 0
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { isLeaving, noteFailure, noteSuccess } from './BendfallRouterBelief.js'
+import { noteFailure, noteSuccess } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { noteConnectionLost } from './BendfallRouterCrashes.js'
 import { logDecision, registrationsAgeMs, noteSent, remainingMs } from './BendfallRouterContext.js'
@@ -39,15 +39,13 @@
  */
 export function startRun (context: RouterContext, request: RequestState): NextStep {
   const belief = context.state.replicas.get(request.reservedAt ?? '')
-  if (belief === undefined || isLeaving(context.state, belief)) {
-    leaveReservation(context, request)
-    return { type: 'reserve' }
-  }
+  if (belief === undefined) return reserveElsewhere(context, request)
   if (request.handle !== undefined && request.handle.expiresAtMs <= context.nowMs) return readAnew(context, request)
   const { address, replicaId } = belief.replica
   const { handle, hold } = request
-  const payment = paySend(context, request)
-  if (payment === undefined) return refuseUnpaid(request)
+  const payment = paySend(context, request, belief)
+  if (payment === 'closed') return reserveElsewhere(context, request)
+  if (payment === 'unpaid') return refuseUnpaid(request)
   noteSent(context, request, belief, 'run')
   request.handle = undefined
   request.hold = undefined
@@ -67,6 +65,11 @@
   return undefined
 }
 
+function reserveElsewhere (context: RouterContext, request: RequestState): NextStep {
+  leaveReservation(context, request)
+  return { type: 'reserve' }
+}
+
 // Sent with a result that is gone, it would be refused as if there were no memory, and be tried
 // with the same one elsewhere.
 function readAnew (context: RouterContext, request: RequestState): NextStep {
--- a/packages/bendfall-router/src/entry/BendfallRouterSend.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterSend.ts
@@ -10,7 +10,8 @@
 import { budgetOf, logDecision } from './BendfallRouterContext.js'
 import type { DecisionInputs, RouterEffectOf } from './BendfallRouterEffects.js'
 import type { SendFailure } from './BendfallRouterEvents.js'
-import type { RequestState } from './BendfallRouterState.js'
+import { isOpen } from './BendfallRouterNotice.js'
+import type { ReplicaBelief, RequestState } from './BendfallRouterState.js'
 
 /** Told to callers for whose request no further send may be paid. */
 const UNPAID_RETRY_MS = 1_000
@@ -35,6 +36,9 @@
 /** How a send was paid: as the first of its request, or from the budget. */
 export type Payment = 'first' | 'budget'
 
+/** Why a send must not be made: nothing is left to pay it with, or its replica takes none. */
+export type Unsent = 'unpaid' | 'closed'
+
 /**
  * Has the next sends of a request promised before the first of them is made.
  *
@@ -101,24 +105,27 @@
 }
 
 /**
- * Pays for a send, just before it is made.
+ * Pays for a send, just before it is made. A replica that leaves or backs off is sent
+ * nothing, whatever was booked there before it said so.
  *
  * @param context - of the event
  * @param request - the request
- * @returns how it was paid; undefined when it must not be made
+ * @param belief - about the replica
+ * @returns how it was paid, or why it must not be made
  */
-export function paySend (context: RouterContext, request: RequestState): Payment | undefined {
+export function paySend (context: RouterContext, request: RequestState, belief: ReplicaBelief): Payment | Unsent {
+  if (!isOpen(context, belief)) return 'closed'
   const { account } = request
   account.extraMadeAtMs = undefined
   if (account.counted === 0) {
     account.counted = 1
     return 'first'
   }
-  if (!coverSends(context, request, 1)) return undefined
+  if (!coverSends(context, request, 1)) return 'unpaid'
   account.promised -= 1
   if (!makeExtra(budgetOf(context, request.service), context.nowMs)) {
     logDecision(context, request, 'retry_budget_spent', { service: request.service, missing: 1 })
-    return undefined
+    return 'unpaid'
   }
   account.counted += 1
   account.extraMadeAtMs = context.nowMs
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -9,6 +9,7 @@
 import type { Prompt, Replica, ReplicaLoad, ReplicaStage, Route, RouterConfig } from '../BendfallRouterTypes.js'
 import { createCrashRecords, DEFAULT_CRASH_LIMITS } from '../crashes/BendfallRouterCrashRecords.js'
 import type { CrashLimits, CrashRecords, ReplicaProcess } from '../crashes/BendfallRouterCrashRecords.js'
+import type { ReplicaNotices } from '../notices/BendfallRouterNotices.js'
 import type { PoolWork } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import { DEFAULT_BUDGET_LIMITS } from './BendfallRouterBudget.js'
@@ -52,6 +53,7 @@
 
 /** Memory that a replica holds for a request. */
 export interface ReplicaHold {
+  readonly replicaId: string
   /** `ip:port` of the replica. */
   readonly address: string
   readonly holdId: string
@@ -226,6 +228,8 @@
   /** What retries of a service may cost. */
   readonly budgetLimits: BudgetLimits
   readonly budgets: Map<string, RetryBudget>
+  /** What replicas said of themselves. */
+  readonly notices: ReplicaNotices
   /** Replicas that crashed, and the requests they ran. */
   readonly crashes: CrashRecords
   /** By service. */
@@ -283,6 +287,7 @@
     longestWaitMs: new Map(),
     budgetLimits,
     budgets: new Map(),
+    notices: new Map(),
     crashes: createCrashRecords(crashLimits),
     runOutcomes: new Map(),
     prefillMsPerToken: FIRST_PREFILL_MS_PER_TOKEN,
--- a/packages/bendfall-router/src/entry/BendfallRouterSubset.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterSubset.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
+import { hasSaidLeaving } from '../notices/BendfallRouterNotices.js'
 import type { ReplicaBelief, RouterState } from './BendfallRouterState.js'
 
 /** Replicas of one service and pool that an entry uses at most: all of the users' small deployments. */
@@ -22,7 +24,7 @@
   const groups = new Map<string, ReplicaBelief[]>()
   for (const belief of state.replicas.values()) {
     if (belief.replica.stage === 'plain') use(state, belief)
-    else if (!belief.replica.isDraining) addTo(groups, `${belief.replica.service} ${belief.replica.stage}`, belief)
+    else if (!belief.replica.isDraining && !hasSaidLeaving(state.notices, nameProcess(belief.replica))) addTo(groups, `${belief.replica.service} ${belief.replica.stage}`, belief)
   }
   for (const group of groups.values()) {
     for (const belief of bestOf(group)) {
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
@@ -94,6 +94,7 @@
     replicaId,
     stage: state.report?.isSwitching === true ? undefined : state.report?.stage,
     isHealthy: state.isHealthy && state.report?.isSwitching !== true,
+    isLeaving: state.report?.isLeaving === true,
     capacityTokens: forecast.capacityTokens,
     roomTokens: roomByHorizon(forecast, freeTokens(state, nowMs)).map((room) => Math.floor(room - waitingTokens)),
     backlogTokens: backlogTokens(state, nowMs)
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedgerState.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerState.ts
@@ -25,6 +25,8 @@
   readonly queued: number
   readonly active: number
   readonly isSwitching: boolean
+  /** Whether the replica says that it leaves; absent: it does not tell. */
+  readonly isLeaving?: boolean
   readonly runs: readonly ReportedRun[]
 }
 
