Take a suspension of the machine for a standstill

Callers would have seen two holders order replicas, and requests sent on registrations and loads that were older than they looked: the monotonic clock of the process does not count a suspension, so that a lease that had lapsed counted as valid and nothing had stood still.

Cause: ages by one clock. The other clocks that count it: the time of day, which jumps by itself, and the boot clock, which Node reads from the uptime of the machine.

Mend: at each event the time of day is compared with the monotonic clock. Where it ran ahead by more than a standstill, the entry is unsure until it has read the registrations again and asks for loads anew; requests keep their deadlines, since it may have been a step. A lease is valid by both clocks; after a step the next renewal, within 0.9 s, proves it.

Not played by processes: SIGSTOP is counted by the monotonic clock.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -6,7 +6,7 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import type { Clock, Logger, Teardown, UpdateLoop } from 'bendfall-node'
-import { createSystemClock, createTeardownStack, createUpdateLoop, listen } from 'bendfall-node'
+import { createSuspensionWatch, createSystemClock, createTeardownStack, createUpdateLoop, listen } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
 import { createRouterState, reduceRouter, TICK_MS } from 'bendfall-router'
 import type { PoolIntent, RouterEffect, RouterEffectOf, RouterEvent, RouterState } from 'bendfall-router'
@@ -78,7 +78,8 @@
   if (settings.callersListen === undefined || settings.readyListen === undefined) throw new Error('settings of an entry need callersListen and readyListen')
   const teardowns = createTeardownStack()
   const state = createRouterState(Math.floor(Math.random() * 0xffffffff), settings.instanceId, decisionsOf(settings), budgetLimitsOf(settings), crashLimitsOf(settings))
-  const loop = createUpdateLoop<RouterEvent, RouterEffect>((event) => reduceRouter(state, event), clock)
+  const readSuspendedMs = createSuspensionWatch(clock)
+  const loop = createUpdateLoop<RouterEvent, RouterEffect>((event) => reduceRouter(state, { ...event, aheadMs: readSuspendedMs() }), clock)
   const exchanges = new Map<string, Exchange>()
   const open = createOpenExchanges()
   const onConnect = (): void => metrics.count('bendfall_connections_opened_total')
--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeHolderLease.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeHolderLease.test.ts
@@ -138,4 +138,29 @@
   waiting.close()
 })
 
+test('a holder that was suspended beyond its lease does not act before it has renewed it', async () => {
+  const scene = createScene()
+  const clock = createVirtualClock()
+  const lease = join(scene, 'a', clock)
+  await clock.advance(10)
+  assert.is(lease.fence(), 8)
+  clock.suspend(4_000)
+  assert.is(lease.fence(), undefined)
+  scene.renewals.push({ type: 'lapsed' })
+  await clock.advance(1_000)
+  assert.is(lease.fence(), undefined)
+  lease.close()
+})
+
+test('a holder whose time of day was set ahead goes on once it has renewed its lease', async () => {
+  const scene = createScene()
+  const clock = createVirtualClock()
+  const lease = join(scene, 'a', clock)
+  await clock.advance(10)
+  clock.suspend(60_000)
+  await clock.advance(1_000)
+  assert.is(lease.fence(), 8)
+  lease.close()
+})
+
 test.run()
--- a/packages/bendfall-edge/src/__tests__/unit/VirtualClock.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/VirtualClock.ts
@@ -4,6 +4,8 @@
 export interface VirtualClock extends Clock {
   /** Runs what falls due within a time, each at its moment. */
   readonly advance: (ms: number) => Promise<void>
+  /** Moves the time of day alone, as a suspension of the machine does, or a step. */
+  readonly suspend: (ms: number) => void
 }
 
 interface Due {
@@ -17,6 +19,7 @@
 export function createVirtualClock (): VirtualClock {
   const due = new Set<Due>()
   let now = 0
+  let suspendedMs = 0
 
   function nextBefore (endMs: number): Due | undefined {
     const inTime = [...due].filter(({ atMs }) => atMs <= endMs)
@@ -37,12 +40,13 @@
 
   return {
     nowMs: () => now,
-    wallMs: () => now,
+    wallMs: () => now + suspendedMs,
     callAt: (atMs, callback) => {
       const one = { atMs, callback }
       due.add(one)
       return () => { due.delete(one) }
     },
+    suspend: (ms) => { suspendedMs += ms },
     advance
   }
 }
--- a/packages/bendfall-edge/src/pools/BendfallEdgeHolderLease.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgeHolderLease.ts
@@ -55,7 +55,13 @@
 interface Held {
   readonly leaseId: string
   readonly fence: number
-  validUntilMs: number
+  valid: Validity
+}
+
+/** Until when a lease is valid, by both clocks: the monotonic one does not count a suspension. */
+interface Validity {
+  readonly untilMs: number
+  readonly untilWallMs: number
 }
 
 /**
@@ -73,6 +79,14 @@
   // A process that starts can't tell how long the era has lasted.
   let eraSeenAtMs = port.onEra === undefined ? -Infinity : clock.nowMs()
 
+  const readClocks = (): Validity => ({ untilMs: clock.nowMs(), untilWallMs: clock.wallMs() })
+
+  function validFrom ({ untilMs, untilWallMs }: Validity): Validity {
+    return { untilMs: untilMs + LEASE_MS - MARGIN_MS, untilWallMs: untilWallMs + LEASE_MS - MARGIN_MS }
+  }
+
+  const isValid = ({ valid }: Held): boolean => clock.nowMs() < valid.untilMs && clock.wallMs() < valid.untilWallMs
+
   function lose (cause: string): void {
     if (held === undefined) return
     logger.warn('duty_lost', { key, fence: held.fence, cause })
@@ -94,7 +108,7 @@
     const read = await port.get(key, { mayBeOld: true })
     lookMs = read.type === 'found' ? Math.min(LONGEST_LOOK_MS, 2 * lookMs) : FIRST_LOOK_MS
     if (read.type !== 'missing' || mayFormerHolderAct()) return
-    const askedAtMs = clock.nowMs()
+    const asked = readClocks()
     const lease = await port.grantLease(LEASE_MS)
     if (lease.type !== 'granted') return
     const written = await port.compareAndSwap({ key, expectedRevision: 0, value: holder, leaseId: lease.leaseId })
@@ -103,7 +117,7 @@
       await port.revokeLease(lease.leaseId)
       return
     }
-    held = { leaseId: lease.leaseId, fence, validUntilMs: askedAtMs + LEASE_MS - MARGIN_MS }
+    held = { leaseId: lease.leaseId, fence, valid: validFrom(asked) }
     logger.info('duty_taken', { key, fence })
   }
 
@@ -114,11 +128,11 @@
   }
 
   async function renew (own: Held): Promise<void> {
-    const askedAtMs = clock.nowMs()
+    const asked = readClocks()
     const outcome = await port.renewLease(own.leaseId)
-    if (outcome.type === 'granted') own.validUntilMs = askedAtMs + LEASE_MS - MARGIN_MS
+    if (outcome.type === 'granted') own.valid = validFrom(asked)
     else if (outcome.type === 'lapsed') lose('lease lapsed')
-    else if (clock.nowMs() >= own.validUntilMs) lose(outcome.detail)
+    else if (!isValid(own)) lose(outcome.detail)
   }
 
   async function run (): Promise<void> {
@@ -136,7 +150,7 @@
 
   run().catch((error: unknown) => logger.error('election_ended', { key, error }))
   return {
-    fence: () => held !== undefined && clock.nowMs() < held.validUntilMs ? held.fence : undefined,
+    fence: () => held !== undefined && isValid(held) ? held.fence : undefined,
     // The key goes as well: the next holder, this one too, has a higher fencing token.
     giveUp: () => {
       const own = held
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -67,8 +67,16 @@
 /** What became of an order: `unknown` may still be carried out, `refused` never will be. */
 export type OrderOutcome = 'accepted' | 'holds_already' | 'refused' | 'fenced' | 'unknown'
 
-/** An event with the monotonic time at which it happened. */
-export type RouterEvent = { readonly atMs: number } & (
+/** When an event happened. */
+export interface EventTime {
+  /** Monotonic time. */
+  readonly atMs: number
+  /** Time for which the machine may have been suspended since the last event: `atMs` does not count it. */
+  readonly aheadMs?: number
+}
+
+/** An event with its time. */
+export type RouterEvent = EventTime & (
   | { readonly type: 'config_learned', readonly config: RouterConfig }
   | { readonly type: 'replicas_changed', readonly present: readonly Replica[], readonly gone: readonly string[] }
   /** Registrations that are missing after an outage: they lapsed in it or were removed. */
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -139,7 +139,7 @@
  */
 export function reduceRouter (state: RouterState, event: RouterEvent): RouterEffect[] {
   const context: RouterContext = { state, nowMs: event.atMs, sinceLastEventMs: event.atMs - state.lastEventAtMs, effects: [] }
-  noteStandstill(context)
+  noteStandstill(context, event.aheadMs)
   const handle = HANDLERS[event.type] as Handler<RouterEvent['type']>
   handle(context, event)
   return context.effects
--- a/packages/bendfall-router/src/entry/BendfallRouterStandstill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterStandstill.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { RouterContext } from './BendfallRouterContext.js'
-import type { ParkedStep, RequestState } from './BendfallRouterState.js'
+import type { ParkedStep, RequestState, RouterState } from './BendfallRouterState.js'
 
 /** Events come at least this often, since time itself is one. */
 export const TICK_MS = 400
@@ -15,17 +15,25 @@
 const STANDSTILL_MS = 1_000
 
 /**
- * Compares the time of an event with that of the last one.
+ * Compares the time of an event with that of the last one. A time of day that ran ahead may
+ * be a suspension or a step: it is believed as far as it costs a read only, so that loads
+ * are asked for anew, while requests keep their deadlines.
  *
  * @param context - of the event, before it is handled
+ * @param suspendedMs - time that the monotonic clock may not have counted
  */
-export function noteStandstill ({ effects, nowMs, state }: RouterContext): void {
-  const gapMs = nowMs - state.lastEventAtMs
+export function noteStandstill ({ effects, nowMs, state }: RouterContext, suspendedMs = 0): void {
+  const gapMs = nowMs - state.lastEventAtMs + suspendedMs
   state.lastEventAtMs = nowMs
   if (gapMs === Infinity || gapMs <= STANDSTILL_MS) return
   state.isUnsure = true
+  if (suspendedMs > 0) forgetLoads(state)
   effects.push({ type: 'refresh_replicas' })
-  effects.push({ type: 'log', decision: 'stood_still', requestId: '', inputs: { gapMs: Math.round(gapMs), requests: state.requests.size } })
+  effects.push({ type: 'log', decision: 'stood_still', requestId: '', inputs: { gapMs: Math.round(gapMs), suspendedMs: Math.round(suspendedMs), requests: state.requests.size } })
+}
+
+function forgetLoads ({ replicas }: RouterState): void {
+  for (const belief of replicas.values()) belief.loadAtMs = -Infinity
 }
 
 /**
