Soak: replicas that leave or back off by their answers, and a request that ends them

A third plan, notices: 32 callers, replicas that say in their answers alone that they leave or want no request for 1 to 3 s, and a request that ends each plain replica that runs it, beside pauses, restarts, resets and a store that refuses. Judged: sends later than the drain time after an entry passed the word on, more than two within a backoff, more than three after the third crash, and anybody else refused as a cause. A replica that starts again at once takes connections, so that only its later registration tells that it crashed: the entry believes that now as well.

--- a/packages/bendfall-fakes/src/__tests__/process/BendfallFakesDrillSoak.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/BendfallFakesDrillSoak.test.ts
@@ -10,7 +10,7 @@
 
 for (const seed of SEEDS) {
   test(`promises hold under the drills of seed ${seed}`, async () => {
-    const { answered, violations } = await soakFleet(seed, SECONDS, true)
+    const { answered, violations } = await soakFleet(seed, SECONDS, 'drills')
     assert.equal(violations, [])
     assert.ok(answered > 0)
   })
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -22,8 +22,10 @@
   readonly answerMs?: number
   /** Whether a request ends the process a short time after its run began, unanswered. */
   readonly crashesOn?: (request: SeenRequest) => boolean
-  /** Called once when the process has ended. */
+  /** Called when the process has ended. */
   readonly onCrash?: () => void
+  /** Whether it starts again at once under its id when it has ended. */
+  readonly isRestarted?: boolean
 }
 
 /** How a replica fails its next request. */
@@ -101,7 +103,7 @@
  * @returns the stand-in once it listens
  */
 export async function startFleetReplica (options: FleetReplicaOptions): Promise<FleetReplica> {
-  const { answerMs = 0, crashesOn = () => false, eventMs = 5, events = 6, memoryTokens = 20_000, onCrash = () => {}, replicaId } = options
+  const { answerMs = 0, crashesOn = () => false, eventMs = 5, events = 6, isRestarted = false, memoryTokens = 20_000, onCrash = () => {}, replicaId } = options
   const seen: SeenRequest[] = []
   const orders: SeenOrder[] = []
   const runs = new Map<string, Run>()
@@ -221,6 +223,10 @@
 
   function crash (): void {
     if (hasCrashed) return
+    if (isRestarted) {
+      restart()
+      return onCrash()
+    }
     hasCrashed = true
     server.stop()
     runs.clear()
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetCaller.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetCaller.ts
@@ -9,11 +9,25 @@
 /** Kind of call, which is also the prefix of its path. */
 export type CallKind = 'booking' | 'brief' | 'rate' | 'summary'
 
+/** What a call asks for. */
+export interface CallRequest {
+  readonly kind: CallKind
+  readonly requestId: string
+  /** `/KIND/1` when absent. */
+  readonly path?: string
+}
+
 /** What became of a call. */
 export interface CallRecord {
   readonly requestId: string
   readonly kind: CallKind
+  /** `ip:port` of the entry. */
+  readonly entry: string
   readonly startedAtMs: number
+  /** When its answer began; absent without one. */
+  answeredAtMs?: number
+  /** Replica that vouches for the answer. */
+  replicaId?: string
   status: number
   isWhole: boolean
   body: string
@@ -31,17 +45,16 @@
  *
  * @param address - `ip:port` of an entry
  * @param host - host of the routes
- * @param kind - kind of call
- * @param requestId - its id
+ * @param asked - kind, id and path
  * @returns what became of it
  */
-export function call (address: string, host: string, kind: CallKind, requestId: string): Promise<CallRecord> {
-  const record: CallRecord = { requestId, kind, startedAtMs: performance.now(), status: 0, isWhole: false, body: '' }
+export function call (address: string, host: string, { kind, path = `/${kind}/1`, requestId }: CallRequest): Promise<CallRecord> {
+  const record: CallRecord = { requestId, kind, entry: address, startedAtMs: performance.now(), status: 0, isWhole: false, body: '' }
   const [ip = '', port = ''] = address.split(':')
   const headers = { host, 'x-request-id': requestId, 'x-deadline-ms': '5000', ...(KINDS_WITH_PROMPT.has(kind) ? { 'x-token-counts': TOKENS } : {}) }
   return new Promise((resolve) => {
     const finish = (): void => resolve(record)
-    const request = httpRequest({ host: ip, port: Number(port), path: `/${kind}/1`, method: kind === 'rate' ? 'GET' : 'POST', agent, headers, timeout: CALL_TIMEOUT_MS }, (response) => read(response, record, finish))
+    const request = httpRequest({ host: ip, port: Number(port), path, method: kind === 'rate' ? 'GET' : 'POST', agent, headers, timeout: CALL_TIMEOUT_MS }, (response) => read(response, record, finish))
     request.on('timeout', () => request.destroy())
     request.on('error', finish)
     request.end()
@@ -50,6 +63,8 @@
 
 function read (response: IncomingMessage, record: CallRecord, finish: () => void): void {
   record.status = response.statusCode ?? 0
+  record.answeredAtMs = performance.now()
+  record.replicaId = response.headers['x-response-stamp'] as string | undefined
   response.setEncoding('utf8')
   response.on('data', (chunk: string) => { record.body += chunk })
   response.on('end', () => { record.isWhole = response.complete })
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -10,9 +10,17 @@
 import { call, findWrongAnswer } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
 import type { SeenOrder } from '../BendfallFakesFleetReplica.js'
-import { ALL_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS } from './BendfallFakesSoakFaults.js'
-import { SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
+import { ALL_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS, NOTICE_FAULTS } from './BendfallFakesSoakFaults.js'
+import { POISON_PATH, SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet } from './BendfallFakesSoakFleet.js'
+import { findCrashFaults, findInBackoff, findLateToLeaving } from './BendfallFakesSoakNotices.js'
+import type { IsCalm, NoticeEvidence } from './BendfallFakesSoakNotices.js'
+
+/**
+ * Faults that a soak draws from: all, a store that comes back from older copies, or what
+ * replicas say of themselves beside a request that ends each replica which runs it.
+ */
+export type SoakPlan = 'faults' | 'drills' | 'notices'
 
 /** Result of a soak. */
 export interface SoakResult {
@@ -45,7 +53,12 @@
 
 const KINDS: readonly CallKind[] = ['booking', 'brief', 'rate', 'summary']
 const CALLERS = 8
+
+/** Enough that each entry asks each replica several times a second, so that one request too many shows. */
+const NOTICE_CALLERS = 32
+
 const CALL_PAUSE_MS = 30
+const POISON_PAUSE_MS = 300
 const FAULT_SERIES = 2
 const REST_MS = [100, 400, 1_000] as const
 const LEAVING_EVERY = 3
@@ -59,29 +72,37 @@
 /** Kinds that run once at most. */
 const ONCE: ReadonlySet<CallKind> = new Set(['booking', 'summary'])
 
+// In a third of the seeds no fault excuses a late send to a replica that leaves.
+const FAULTS_OF: Readonly<Record<SoakPlan, (seed: number) => readonly string[]>> = {
+  drills: () => DRILL_FAULTS,
+  faults: (seed) => seed % LEAVING_EVERY === 0 ? LEAVING_FAULTS : ALL_FAULTS,
+  notices: () => NOTICE_FAULTS
+}
+
 /**
  * Runs a soak.
  *
  * @param seed - of faults and callers
  * @param seconds - time under faults
- * @param hasDrills - whether the store comes back from older copies
+ * @param plan - faults that it draws from
  * @returns what was seen
  */
-export async function soakFleet (seed: number, seconds: number, hasDrills = false): Promise<SoakResult> {
+export async function soakFleet (seed: number, seconds: number, plan: SoakPlan = 'faults'): Promise<SoakResult> {
   const fleet = await startSoakFleet()
   const records: CallRecord[] = []
   const faults: SoakFault[] = []
-  // In a third of the seeds no fault excuses a late send to a replica that leaves.
-  const names = hasDrills ? DRILL_FAULTS : seed % LEAVING_EVERY === 0 ? LEAVING_FAULTS : ALL_FAULTS
+  const names = FAULTS_OF[plan](seed)
   try {
     await untilServed(fleet, seed)
     const endsAtMs = performance.now() + seconds * 1_000
     const isOver = (): boolean => performance.now() >= endsAtMs
     await Promise.all([
-      ...Array.from({ length: CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
+      ...Array.from({ length: plan === 'notices' ? NOTICE_CALLERS : CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
+      ...(plan === 'notices' ? [poisonOn(fleet, seed, records, isOver)] : []),
       ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), names, faults, isOver))
     ])
-    const violations = [...findViolations(fleet, records), ...findLateArrivals(fleet, faults), ...findFenceFaults(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
+    const evidence = { fleet, records, isCalm: createCalm(faults) }
+    const violations = [...findViolations(fleet, records), ...findLateArrivals(evidence), ...findLateToLeaving(evidence), ...findInBackoff(evidence), ...findCrashFaults(evidence), ...findFenceFaults(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
     const answered = records.filter(({ isWhole, status }) => status === 200 && isWhole).length
     const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
     const orders = fleet.models.reduce((sum, { replica }) => sum + replica.orders.length, 0)
@@ -93,11 +114,20 @@
 
 async function callOn (fleet: SoakFleet, name: string, draw: Draw, records: CallRecord[], isOver: () => boolean): Promise<void> {
   for (let i = 0; !isOver(); i++) {
-    records.push(await call(draw(fleet.entries), SOAK_HOST, draw(KINDS), `${name}-${i}`))
+    const entry = draw(fleet.entries)
+    records.push(await call(entry, SOAK_HOST, { kind: draw(KINDS), requestId: `${name}-${i}` }))
     await sleep(CALL_PAUSE_MS)
   }
 }
 
+async function poisonOn (fleet: SoakFleet, seed: number, records: CallRecord[], isOver: () => boolean): Promise<void> {
+  const draw = createDraw(seed)
+  for (let i = 0; !isOver(); i++) {
+    records.push(await call(draw(fleet.entries), SOAK_HOST, { kind: 'rate', path: POISON_PATH, requestId: `poison-${seed}-${i}` }))
+    await sleep(POISON_PAUSE_MS)
+  }
+}
+
 async function harmOn (fleet: SoakFleet, draw: Draw, names: readonly string[], faults: SoakFault[], isOver: () => boolean): Promise<void> {
   while (!isOver()) {
     const fromMs = performance.now()
@@ -119,10 +149,13 @@
   })
 }
 
-// A replica that leaves gets no new work after the drain time.
-function findLateArrivals ({ away }: SoakFleet, faults: readonly SoakFault[]): string[] {
+function createCalm (faults: readonly SoakFault[]): IsCalm {
   const excuses = faults.filter(({ name }) => EXCUSING.test(name))
-  const isCalm = (atMs: number): boolean => excuses.every(({ fromMs, untilMs }) => atMs < fromMs || atMs > untilMs + CALM_MS)
+  return (atMs) => excuses.every(({ fromMs, untilMs }) => atMs < fromMs || atMs > untilMs + CALM_MS)
+}
+
+// A replica that leaves gets no new work after the drain time.
+function findLateArrivals ({ fleet: { away }, isCalm }: NoticeEvidence): string[] {
   return away.flatMap(({ fromMs, replica, untilMs = Infinity }) => replica.seen
     .filter(({ atMs }) => atMs > fromMs + DRAIN_MS + SLACK_MS && atMs < untilMs && isCalm(atMs))
     .map(({ atMs, requestId }) => `${requestId} reached ${replica.address} ${Math.round(atMs - fromMs)} ms after it left (at ${Math.round(atMs)}, wall ${new Date(performance.timeOrigin + atMs).toISOString()})`))
@@ -173,7 +206,7 @@
 }
 
 async function isServed (fleet: SoakFleet, entry: string, kind: CallKind, requestId: string): Promise<boolean> {
-  const { isWhole, status } = await call(entry, SOAK_HOST, kind, requestId)
+  const { isWhole, status } = await call(entry, SOAK_HOST, { kind, requestId })
   return status === 200 && isWhole
 }
 
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
@@ -1,18 +1,24 @@
 /**
  * Command line of the soak: `npm run soak:fleet -- --seeds 1-50 --seconds 8`, with
- * `--drills` for a store that comes back from older copies.
+ * `--plan drills` for a store that comes back from older copies and `--plan notices` for
+ * what replicas say of themselves beside a request that ends replicas.
  *
  * @module
  */
 import { parseArgs } from 'node:util'
 import { soakFleet } from './BendfallFakesFleetSoak.js'
+import type { SoakPlan } from './BendfallFakesFleetSoak.js'
 
-const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1-5' }, seconds: { type: 'string', default: '8' }, drills: { type: 'boolean', default: false } } })
+const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1-5' }, seconds: { type: 'string', default: '8' }, plan: { type: 'string', default: 'faults' } } })
 const [first = 1, last = first] = values.seeds.split('-').map(Number)
 
+const PLANS: readonly SoakPlan[] = ['faults', 'drills', 'notices']
+const plan = PLANS.find((one) => one === values.plan)
+if (plan === undefined) throw new Error(`--plan: expected one of ${PLANS.join(', ')}, found ${values.plan}`)
+
 let failed = 0
 for (let seed = first; seed <= last; seed++) {
-  const { answered, calls, evidence, faults, orders, refused, violations } = await soakFleet(seed, Number(values.seconds), values.drills)
+  const { answered, calls, evidence, faults, orders, refused, violations } = await soakFleet(seed, Number(values.seconds), plan)
   console.log(`seed ${seed}: ${calls} calls, ${answered} answered, ${refused} refused as not run, ${faults.length} faults, ${orders} orders, ${violations.length} violations`)
   for (const violation of violations) console.log(`  ${violation}`)
   if (violations.length === 0) continue
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -7,6 +7,7 @@
 import type { Draw } from '../../BendfallFakesClusterFaults.js'
 import type { FleetReplicaFault } from '../BendfallFakesFleetReplica.js'
 import type { FleetProxy, ProxyFault } from './BendfallFakesFleetProxy.js'
+import { endNotices } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet, SoakNode } from './BendfallFakesSoakFleet.js'
 
 const FAULT_MS = [150, 600, 1_500, 3_000] as const
@@ -16,6 +17,8 @@
 /** Time for which a replica that leaves is away before it starts again: longer than the drain time, so that late sends show. */
 const AWAY_MS = 4_500
 
+const MS_PER_SECOND = 1_000
+
 /** What another writer may leave among the registrations. */
 const FOREIGN_ENTRIES: ReadonlyArray<(address: string) => unknown> = [
   () => 'no registration',
@@ -30,9 +33,25 @@
 /** Owners that live write again within this time after a restore; what they don't write lapses. */
 const WRITTEN_AGAIN_MS = 2_000
 
+/** Backoffs that replicas ask for, whole seconds as they tell them. */
+const BACKOFF_S = [1, 2, 3] as const
+
 type Inflict = (fleet: SoakFleet, draw: Draw) => Promise<string>
 
 const FAULTS: Readonly<Record<string, Inflict>> = {
+  back_off: async ({ models, notices, plain }, draw) => {
+    const { replica, replicaId } = draw([...models, ...plain])
+    // Its time counts from each refusal anew.
+    if (notices.some((one) => one.replica === replica && one.untilMs === undefined)) return 'nobody'
+    const seconds = draw(BACKOFF_S)
+    const fromMs = performance.now()
+    replica.askForRest(seconds)
+    await sleep(FAULT_MS[0])
+    replica.askForRest(0)
+    notices.push({ replica, kind: 'backs_off', fromMs, untilMs: fromMs + seconds * MS_PER_SECOND })
+    await sleep(seconds * MS_PER_SECOND)
+    return `${replicaId} ${seconds} s`
+  },
   foreign: async ({ plain, store }, draw) => {
     const { proxy } = draw(plain)
     store.put('servers/foreign', draw(FOREIGN_ENTRIES)(proxy.address))
@@ -86,10 +105,11 @@
     proxy.reset()
     return proxy.address
   },
-  restart: async ({ away, models, plain }, draw) => {
+  restart: async ({ away, models, notices, plain }, draw) => {
     const one = draw([...models, ...plain])
     // A process that starts again and says that it is ready leaves no longer.
     for (const absence of away) if (absence.replica === one.replica) absence.untilMs ??= performance.now()
+    endNotices(notices, one.replica)
     one.replica.restart()
     one.register('ready')
     return one.replicaId
@@ -118,6 +138,18 @@
     }
     return `store, a copy of ${copyAgeMs} ms before`
   },
+  say_leaving: async ({ notices, plain }, draw) => {
+    if (notices.some(({ kind, untilMs }) => kind === 'leaves' && untilMs === undefined)) return 'nobody'
+    const one = draw(plain)
+    const notice = { replica: one.replica, kind: 'leaves' as const, fromMs: performance.now(), untilMs: undefined as number | undefined }
+    notices.push(notice)
+    one.replica.sayLeaving()
+    await sleep(AWAY_MS)
+    endNotices(notices, one.replica)
+    one.replica.restart()
+    one.register('ready')
+    return one.replicaId
+  },
   terminate: async (fleet, draw) => {
     const node = draw(fleet.nodes)
     await end(node, 'SIGTERM', draw)
@@ -127,8 +159,12 @@
 
 const DRILL = 'store_restored'
 
-/** Names of all faults but the drill, by which former seeds drew. */
-export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS).filter((name) => name !== DRILL)
+/** Names of the faults by which former seeds drew. */
+const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'say_leaving'])
+export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS).filter((name) => !LATER_FAULTS.has(name))
+
+/** Replicas that leave, or back off, by their own answers alone, beside others that are registered or start again. */
+export const NOTICE_FAULTS: readonly string[] = ['back_off', 'back_off', 'say_leaving', 'say_leaving', 'leave', 'pause', 'reset', 'restart', 'store_fails']
 
 /** Drills in which the store comes back from a copy, also twice in a row, among replicas that leave and entries that pause. */
 export const DRILL_FAULTS: readonly string[] = [DRILL, DRILL, 'leave', 'leave', 'pause', 'reset', 'restart', 'silence', 'store_fails']
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -27,6 +27,9 @@
 /** Events of a stream: about half a second. */
 export const SOAK_EVENTS = 24
 
+/** Path whose request ends each replica that runs it. */
+export const POISON_PATH = '/rate/poison'
+
 const EVENT_MS = 20
 const SUBNETS = 250
 const PEER_PORT = 17_380
@@ -65,8 +68,20 @@
   untilMs: number | undefined
 }
 
+/** A word of a replica about itself: it leaves, or wants no request for a time. */
+export interface SoakNotice {
+  readonly replica: FleetReplica
+  readonly kind: 'leaves' | 'backs_off'
+  readonly fromMs: number
+  /** End of what it asks for; absent while it lasts. */
+  untilMs: number | undefined
+}
+
 /** The fleet. */
 export interface SoakFleet {
+  readonly notices: SoakNotice[]
+  /** Monotonic times at which replicas ended under the request that ends them. */
+  readonly crashes: readonly number[]
   /** Writes the configuration, as the operator does. */
   readonly configure: () => void
   readonly away: Absence[]
@@ -96,8 +111,14 @@
   const store = await startFleetStore(ip(1))
   const storeProxy = await startFleetProxy(store.address)
   const models: SoakReplica[] = []
-  for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(store, ip(11 + index), `m${index}`, stage))
-  const plain = [await startReplica(store, ip(21), 'a0'), await startReplica(store, ip(22), 'a1'), await startReplica(store, ip(23), 'a2')]
+  const crashes: number[] = []
+  const notices: SoakNotice[] = []
+  const onCrash = (replica: FleetReplica): void => {
+    crashes.push(performance.now())
+    endNotices(notices, replica)
+  }
+  for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(store, ip(11 + index), `m${index}`, onCrash, stage))
+  const plain = [await startReplica(store, ip(21), 'a0', onCrash), await startReplica(store, ip(22), 'a1', onCrash), await startReplica(store, ip(23), 'a2', onCrash)]
   for (const one of [...models, ...plain]) one.register('ready')
   const configure = (): void => store.put('op/config', CONFIG)
   configure()
@@ -111,6 +132,8 @@
   ]
   return {
     away: [],
+    notices,
+    crashes,
     configure,
     store,
     storeProxy,
@@ -128,14 +151,39 @@
   }
 }
 
+/**
+ * Ends what a replica has asked for: a process that starts again is not bound by it.
+ *
+ * @param notices - of all replicas
+ * @param replica - that starts again
+ */
+export function endNotices (notices: readonly SoakNotice[], replica: FleetReplica): void {
+  const nowMs = performance.now()
+  for (const notice of notices) {
+    if (notice.replica === replica) notice.untilMs = Math.min(nowMs, notice.untilMs ?? Infinity)
+  }
+}
+
 // Loopback addresses of this process alone, so that soaks may run side by side.
 function ip (last: number): string {
   const subnet = process.pid
   return `127.${1 + subnet % SUBNETS}.${Math.floor(subnet / SUBNETS) % SUBNETS}.${last}`
 }
 
-async function startReplica (store: FleetStore, host: string, replicaId: string, stage?: 'prefill' | 'decode'): Promise<SoakReplica> {
-  const replica = await startFleetReplica({ host, replicaId, stage, events: SOAK_EVENTS, eventMs: EVENT_MS })
+async function startReplica (store: FleetStore, host: string, replicaId: string, onCrash: (replica: FleetReplica) => void, stage?: 'prefill' | 'decode'): Promise<SoakReplica> {
+  const replica = await startFleetReplica({
+    host,
+    replicaId,
+    stage,
+    events: SOAK_EVENTS,
+    eventMs: EVENT_MS,
+    isRestarted: true,
+    crashesOn: ({ path }) => path === POISON_PATH,
+    onCrash: () => {
+      onCrash(replica)
+      register('ready')
+    }
+  })
   const proxy = await startFleetProxy(replica.address)
   const key = `servers/${replicaId}`
   let seq = 0
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
@@ -69,6 +69,22 @@
   assert.is(world.state.crashes.suspects.size, 0)
 })
 
+test('a replica that took a connection and then registers as a later process has crashed', () => {
+  const world = once()
+  const replicaId = loseRun(world, 'k1')
+  world.send({ type: 'replica_checked', replicaId, startedAtMs: 1, outcome: 'alive' })
+  world.send({ type: 'replicas_changed', present: [replicaOf(replicaId, 'plain', { startedAtMs: 2, revision: 2, registeredAtRevision: 2 })], gone: [] })
+  assert.is(world.state.crashes.suspects.size, 1)
+})
+
+test('a replica that took a connection and then is gone has left in order', () => {
+  const world = once()
+  const replicaId = loseRun(world, 'k1')
+  world.send({ type: 'replica_checked', replicaId, startedAtMs: 1, outcome: 'alive' })
+  world.send({ type: 'replicas_changed', present: [], gone: [replicaId] })
+  assert.is(world.state.crashes.suspects.size, 0)
+})
+
 test('a request that ended three replicas is refused as not run, with the time until its crashes lapse', () => {
   const world = once()
   for (const key of ['k1', 'k2', 'k3']) crashUnder(world, key, 'same')
--- a/packages/bendfall-router/src/crashes/BendfallRouterCrashRecords.ts
+++ b/packages/bendfall-router/src/crashes/BendfallRouterCrashRecords.ts
@@ -44,6 +44,8 @@
   readonly process: ReplicaProcess
   readonly fingerprints: Set<string>
   readonly lostAtMs: number
+  /** Whether a process took a connection there after that: this one, or one that started again at once. */
+  isAnswering: boolean
 }
 
 /** What an entry knows of crashes. */
@@ -118,7 +120,7 @@
  * @param process - at the other end
  * @param fingerprint - of the request; absent: it is not suspected
  * @param nowMs - the time
- * @returns whether it is the first one lost there, so that the process is worth a check
+ * @returns whether the process is worth a check: none is under way
  */
 export function noteLost ({ lost }: CrashRecords, process: ReplicaProcess, fingerprint: string | undefined, nowMs: number): boolean {
   for (const [name, { lostAtMs }] of lost) {
@@ -127,20 +129,24 @@
   }
   const name = nameProcess(process)
   const known = lost.get(name)
-  const one = known ?? { process, fingerprints: new Set<string>(), lostAtMs: nowMs }
+  const isChecked = known?.isAnswering === true
+  if (known !== undefined) known.isAnswering = false
+  const one = known ?? { process, fingerprints: new Set<string>(), lostAtMs: nowMs, isAnswering: false }
   if (fingerprint !== undefined) one.fingerprints.add(fingerprint)
   lost.set(name, one)
-  return known === undefined
+  return known === undefined || isChecked
 }
 
 /**
- * Forgets connections that were lost to a process that lives.
+ * Notes that a process took a connection after others were lost: only the registration of
+ * a later process tells now that it has ended.
  *
  * @param records - changed in place
  * @param process - of the replica
  */
-export function dropLost ({ lost }: CrashRecords, process: ReplicaProcess): void {
-  lost.delete(nameProcess(process))
+export function noteAnswering ({ lost }: CrashRecords, process: ReplicaProcess): void {
+  const one = lost.get(nameProcess(process))
+  if (one !== undefined) one.isAnswering = true
 }
 
 /**
@@ -271,7 +277,7 @@
  * @returns crashes, and connections lost of late to processes that were not checked yet
  */
 export function countSuspicions (records: CrashRecords, fingerprint: string, nowMs: number): number {
-  const unchecked = [...records.lost.values()].filter(({ fingerprints }) => fingerprints.has(fingerprint)).length
+  const unchecked = [...records.lost.values()].filter(({ fingerprints, isAnswering }) => !isAnswering && fingerprints.has(fingerprint)).length
   return countCrashes(records, fingerprint, nowMs).processes.length + unchecked
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterCrashes.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterCrashes.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { countCrashes, countSuspicions, dropLost, forgetCrashes, makeReport, nameProcess, noteEnded, noteLost, noteServed, takeReport } from '../crashes/BendfallRouterCrashRecords.js'
+import { countCrashes, countSuspicions, forgetCrashes, makeReport, nameProcess, noteAnswering, noteEnded, noteLost, noteServed, takeReport } from '../crashes/BendfallRouterCrashRecords.js'
 import type { ReplicaProcess } from '../crashes/BendfallRouterCrashRecords.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
@@ -53,7 +53,7 @@
 export function takeReplicaCheck (context: RouterContext, { outcome, replicaId, startedAtMs }: RouterEventOf<'replica_checked'>): void {
   const process = { replicaId, startedAtMs }
   if (outcome !== 'alive') return noteProcessEnded(context, process, outcome === 'ended' ? 'connection_refused' : 'no_connection')
-  dropLost(context.state.crashes, process)
+  noteAnswering(context.state.crashes, process)
   context.effects.push({ type: 'log', decision: 'connections_lost', requestId: '', inputs: { replica: replicaId } })
 }
 
@@ -152,11 +152,12 @@
 }
 
 /**
- * Notes that a replica was replaced by another process, or is registered no longer.
+ * Notes that a replica is registered no longer, or that another one has its address. One
+ * that took connections since may have left in order.
  *
  * @param context - of the event
  * @param process - that is gone
  */
 export function noteProcessGone (context: RouterContext, process: ReplicaProcess): void {
-  if (context.state.crashes.lost.has(nameProcess(process))) noteProcessEnded(context, process, 'registration')
+  if (context.state.crashes.lost.get(nameProcess(process))?.isAnswering === false) noteProcessEnded(context, process, 'registration')
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
@@ -7,7 +7,7 @@
  */
 import type { Replica } from '../BendfallRouterTypes.js'
 import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
-import { noteProcessGone } from './BendfallRouterCrashes.js'
+import { noteProcessEnded } from './BendfallRouterCrashes.js'
 import { removeReplica } from './BendfallRouterMembers.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RequestState } from './BendfallRouterState.js'
@@ -22,7 +22,7 @@
   const { effects, state } = context
   const former = state.replicas.get(replica.replicaId)?.replica
   if (former !== undefined) {
-    noteProcessGone(context, former)
+    noteProcessEnded(context, former, 'registration')
     // Without its start the name of the new process is the same.
     state.notices.delete(nameProcess(former))
   }
