--- /dev/null
+++ b/packages/bendfallctl/src/BendfallctlCrashes.ts
@@ -0,0 +1,106 @@
+/**
+ * Shows the requests under which replicas crashed, as entries told each other, and has all
+ * entries forget them.
+ *
+ * @module
+ */
+import { digestJson } from 'bendfall-core'
+import { CRASH_PREFIX, CRASHES_CLEARED_KEY, decodeCrashReport } from 'bendfall-edge'
+import type { KeyValueEntry, KeyValuePort } from 'bendfall-platform'
+import { createCrashRecords, takeReport } from 'bendfall-router'
+import type { CrashRecords } from 'bendfall-router'
+import type { CommandResult } from './BendfallctlExit.js'
+import { formatTable } from './BendfallctlTable.js'
+
+/** A request and the processes of replicas that ended under it. */
+export interface CrashSuspect {
+  readonly fingerprint: string
+  readonly processes: readonly string[]
+  /** Entries that saw one of the crashes. */
+  readonly seenBy: readonly string[]
+}
+
+interface StoredCrashes {
+  readonly suspects: readonly CrashSuspect[]
+  readonly digest: string
+  /** Reports that could not be read, and why. */
+  readonly unread: readonly string[]
+}
+
+type ReadCrashes = { readonly type: 'read', readonly crashes: StoredCrashes } | { readonly type: 'outage', readonly detail: string }
+
+/**
+ * Lists the suspects.
+ *
+ * @param port - key-value service of the entries
+ * @returns the list with its digest
+ */
+export async function listCrashes (port: KeyValuePort): Promise<CommandResult> {
+  const read = await readCrashes(port)
+  if (read.type === 'outage') return outage(read.detail)
+  const { crashes } = read
+  const rows = crashes.suspects.map(({ fingerprint, processes, seenBy }) => [fingerprint, String(processes.length), processes.join(' '), seenBy.join(' ')])
+  const text = [
+    rows.length === 0 ? 'No request is suspected.' : formatTable(['request', 'crashes', 'processes', 'seen by'], rows),
+    ...crashes.unread.map((detail) => `not read: ${detail}`),
+    ...(rows.length === 0 ? [] : [`Forget all with: bendfallctl crashes-clear --digest ${crashes.digest}`])
+  ].join('\n')
+  return { exit: crashes.unread.length > 0 ? 'findings' : 'done', text, json: crashes }
+}
+
+/**
+ * Has all entries forget all crashes.
+ *
+ * @param port - key-value service of the entries
+ * @param digest - of the list that was shown
+ * @param now - names this wish; differs each time
+ * @returns what was done; nothing when the list is another one by now
+ */
+export async function clearCrashes (port: KeyValuePort, digest: string, now: Date): Promise<CommandResult> {
+  const read = await readCrashes(port)
+  if (read.type === 'outage') return outage(read.detail)
+  const { crashes } = read
+  if (crashes.digest !== digest) return { exit: 'conflict', text: `The list has changed; its digest is ${crashes.digest}. Nothing was forgotten.`, json: { digest: crashes.digest, isCleared: false } }
+  const former = await port.get(CRASHES_CLEARED_KEY)
+  if (former.type === 'unavailable') return outage(former.detail)
+  const expectedRevision = former.type === 'found' ? former.entry.revision : 0
+  const written = await port.compareAndSwap({ key: CRASHES_CLEARED_KEY, expectedRevision, value: now.toISOString(), leaseId: '' })
+  if (written.type === 'applied') return { exit: 'done', text: 'All entries forget all crashes.', json: { digest, isCleared: true } }
+  if (written.type === 'conflict') return { exit: 'conflict', text: 'Another operator cleared the list at the same time.', json: { digest, isCleared: false } }
+  return outage(written.detail)
+}
+
+function outage (detail: string): CommandResult {
+  return { exit: 'outage', text: `The key-value service gave no answer: ${detail}`, json: { detail } }
+}
+
+async function readCrashes (port: KeyValuePort): Promise<ReadCrashes> {
+  const listed = await port.list(CRASH_PREFIX)
+  if (listed.type === 'unavailable') return { type: 'outage', detail: listed.detail }
+  const cleared = await port.get(CRASHES_CLEARED_KEY)
+  if (cleared.type === 'unavailable') return { type: 'outage', detail: cleared.detail }
+  const sinceRevision = cleared.type === 'found' ? cleared.entry.revision : 0
+  return { type: 'read', crashes: gather(listed.entries.filter(({ revision }) => revision > sinceRevision)) }
+}
+
+function gather (entries: readonly KeyValueEntry[]): StoredCrashes {
+  const records = createCrashRecords()
+  const seenBy = new Map<string, string[]>()
+  const unread: string[] = []
+  for (const { key, value } of entries) {
+    const report = decodeCrashReport(value, key)
+    if (report.isErr()) {
+      unread.push(report.error)
+      continue
+    }
+    takeReport(records, report.value, false, 0)
+    for (const { fingerprint } of report.value.suspects) seenBy.set(fingerprint, [...seenBy.get(fingerprint) ?? [], key.slice(CRASH_PREFIX.length)])
+  }
+  const suspects = toSuspects(records, seenBy)
+  return { suspects, digest: digestJson(suspects), unread }
+}
+
+function toSuspects ({ suspects }: CrashRecords, seenBy: ReadonlyMap<string, readonly string[]>): CrashSuspect[] {
+  const all = [...suspects].map(([fingerprint, times]) => ({ fingerprint, processes: [...times.keys()].sort(), seenBy: [...seenBy.get(fingerprint) ?? []].sort() }))
+  return all.filter(({ processes }) => processes.length > 0).sort((one, other) => other.processes.length - one.processes.length || (one.fingerprint < other.fingerprint ? -1 : 1))
+}
--- a/packages/bendfallctl/src/BendfallctlMain.ts
+++ b/packages/bendfallctl/src/BendfallctlMain.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { defineCommand, runMain } from 'citty'
+import { crashesClearCommand, crashesCommand } from './BendfallctlCrashesCommands.js'
 import { explainCommand } from './BendfallctlExplainCommand.js'
 import { confirmCommand, planCommand } from './BendfallctlPlanCommands.js'
 import { poolsConfirmCommand, poolsPlanCommand } from './BendfallctlPoolsCommands.js'
@@ -15,6 +16,8 @@
   subCommands: {
     check: checkCommand,
     confirm: confirmCommand,
+    crashes: crashesCommand,
+    'crashes-clear': crashesClearCommand,
     drain: drainCommand,
     explain: explainCommand,
     plan: planCommand,
