--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -70,8 +70,8 @@
   readonly answerTwice: () => void
   /** From now on each answer says that the replica leaves. */
   readonly sayLeaving: () => void
-  /** Refuses all requests as not run, and asks for so many seconds of rest; 0 ends it. */
-  readonly askForRest: (seconds: number) => void
+  /** Refuses all requests as not run, and asks for a backoff of so many seconds; 0 ends it. */
+  readonly askForBackoff: (seconds: number) => void
   /** Forgets faults that no request met, and answers once. */
   readonly heal: () => void
   readonly stage: () => string | undefined
@@ -113,7 +113,7 @@
   let isAnsweringTwice = false
   let hasCrashed = false
   let isLeaving = false
-  let restS = 0
+  let backoffS = 0
   let { stage } = options
   let nextHandle = 1
   let startedAtMs = Date.now()
@@ -158,7 +158,7 @@
   }
 
   function refuse (request: IncomingMessage, response: ServerResponse): void {
-    answer(request, response, 503, '{}', { 'x-not-executed': '1', 'x-instance-id': replicaId, ...(restS > 0 ? { 'retry-after': String(restS) } : {}) })
+    answer(request, response, 503, '{}', { 'x-not-executed': '1', 'x-instance-id': replicaId, ...(backoffS > 0 ? { 'retry-after': String(backoffS) } : {}) })
   }
 
   function misdirect (request: IncomingMessage, response: ServerResponse): void {
@@ -167,7 +167,7 @@
 
   function prefill (request: IncomingMessage, body: Buffer, response: ServerResponse): void {
     const one = note(request, body, response, 'prefill')
-    if (restS > 0) {
+    if (backoffS > 0) {
       one.isRefused = true
       return refuse(request, response)
     }
@@ -185,7 +185,7 @@
       return
     }
     const fault = faults.shift()
-    if (restS > 0 || fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) {
+    if (backoffS > 0 || fault === 'not_run' || usedTokens() + promptTokens(request) > memoryTokens) {
       one.isRefused = true
       return refuse(request, response)
     }
@@ -238,7 +238,7 @@
     startedAtMs = Math.max(Date.now(), startedAtMs + 1)
     stage = options.stage
     isLeaving = false
-    restS = 0
+    backoffS = 0
     faults.length = 0
     handles.clear()
     server.resetAll()
@@ -282,12 +282,12 @@
     running: () => runs.size,
     failNext: (fault) => { faults.push(fault) },
     sayLeaving: () => { isLeaving = true },
-    askForRest: (seconds) => { restS = seconds },
+    askForBackoff: (seconds) => { backoffS = seconds },
     answerTwice: () => { isAnsweringTwice = true },
     heal: () => {
       faults.length = 0
       isAnsweringTwice = false
-      restS = 0
+      backoffS = 0
     }
   }
 }
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -45,9 +45,9 @@
     if (notices.some((one) => one.replica === replica && one.untilMs === undefined)) return 'nobody'
     const seconds = draw(BACKOFF_S)
     const fromMs = performance.now()
-    replica.askForRest(seconds)
+    replica.askForBackoff(seconds)
     await sleep(FAULT_MS[0])
-    replica.askForRest(0)
+    replica.askForBackoff(0)
     notices.push({ replica, kind: 'backs_off', fromMs, untilMs: fromMs + seconds * MS_PER_SECOND })
     await sleep(seconds * MS_PER_SECOND)
     return `${replicaId} ${seconds} s`
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterNotice.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterNotice.test.ts
@@ -4,7 +4,7 @@
 import { arrival, createWorld, loadOf, modelWorld, only, plainRoute, replicaOf, typesOf } from './RouterWorld.js'
 import type { RouterWorld } from './RouterWorld.js'
 
-const REST: ReplicaNotice = { isLeaving: false, backoffMs: 3_000 }
+const BACKS_OFF: ReplicaNotice = { isLeaving: false, backoffMs: 3_000 }
 const LEAVES: ReplicaNotice = { isLeaving: true }
 
 const PLAIN = ['a1', 'a2'].map((id) => replicaOf(id, 'plain', { startedAtMs: 1 }))
@@ -24,7 +24,7 @@
   return only(world.send({ type: 'prefill_answered', key: 'k1', attempt: read.attempt, outcome: { type: 'read', handle: 'h1' } }), 'confirm').attempt
 }
 
-for (const [name, notice] of [['leaves', LEAVES], ['backs off', REST]] as const) {
+for (const [name, notice] of [['leaves', LEAVES], ['backs off', BACKS_OFF]] as const) {
   test(`no call goes to a replica that ${name}, though no other was trusted more`, () => {
     const world = plainWorld()
     world.send({ type: 'replica_spoke', replicaId: 'a1', notice })
@@ -65,9 +65,9 @@
 
 test('when all replicas back off a call is refused at once with the shortest time left', () => {
   const world = plainWorld()
-  world.send({ type: 'replica_spoke', replicaId: 'a1', notice: REST })
+  world.send({ type: 'replica_spoke', replicaId: 'a1', notice: BACKS_OFF })
   world.wait(1_000)
-  world.send({ type: 'replica_spoke', replicaId: 'a2', notice: REST })
+  world.send({ type: 'replica_spoke', replicaId: 'a2', notice: BACKS_OFF })
   const refusal = only(world.send(arrival('k1', '/rates/1')), 'refuse')
   assert.equal([refusal.status, refusal.reason, refusal.retryAfterMs], [503, 'replicas_back_off', 2_000])
   world.wait(2_000)
@@ -76,7 +76,7 @@
 
 test('no prompt is queued, booked or read while all replicas that could run it back off', () => {
   const world = modelWorld()
-  for (const replicaId of ['d1', 'd2']) world.send({ type: 'replica_spoke', replicaId, notice: REST })
+  for (const replicaId of ['d1', 'd2']) world.send({ type: 'replica_spoke', replicaId, notice: BACKS_OFF })
   const effects = world.send(arrival('k1'))
   assert.is(only(effects, 'refuse').retryAfterMs, 3_000)
   assert.not.ok(typesOf(effects).some((type) => ['queue_prefill', 'reserve', 'send_prefill', 'take_hold'].includes(type)))
@@ -84,7 +84,7 @@
 
 test('a request that the only awake replica has refused is told when the next one is awake', () => {
   const world = plainWorld()
-  world.send({ type: 'replica_spoke', replicaId: 'a1', notice: REST })
+  world.send({ type: 'replica_spoke', replicaId: 'a1', notice: BACKS_OFF })
   const { attempt } = only(world.send(arrival('k1', '/rates/1')), 'send_run')
   world.send({ type: 'replica_spoke', replicaId: 'a2', notice: { isLeaving: false, backoffMs: 5_000 } })
   const refusal = only(world.send({ type: 'run_failed', key: 'k1', attempt, failure: 'not_run' }), 'refuse')
@@ -94,13 +94,13 @@
 test('what lapses by itself is not given back to a replica that backs off', () => {
   const world = modelWorld()
   confirming(world)
-  world.send({ type: 'replica_spoke', replicaId: 'p1', notice: REST })
+  world.send({ type: 'replica_spoke', replicaId: 'p1', notice: BACKS_OFF })
   assert.not.ok(typesOf(world.send({ type: 'caller_left', key: 'k1' })).includes('free_handle'))
 })
 
 test('a later answer does not shorten a backoff', () => {
   const world = plainWorld()
-  world.send({ type: 'replica_spoke', replicaId: 'a1', notice: REST })
+  world.send({ type: 'replica_spoke', replicaId: 'a1', notice: BACKS_OFF })
   world.send({ type: 'replica_spoke', replicaId: 'a1', notice: { isLeaving: false, backoffMs: 500 } })
   world.send({ type: 'replica_spoke', replicaId: 'a1', notice: { isLeaving: false } })
   world.wait(2_500)
@@ -132,7 +132,7 @@
 
 test('a decode replica that backs off is no member of its pool that serves', () => {
   const world = modelWorld()
-  world.send({ type: 'replica_spoke', replicaId: 'd1', notice: REST })
+  world.send({ type: 'replica_spoke', replicaId: 'd1', notice: BACKS_OFF })
   world.send({ type: 'load_learned', load: loadOf('d1', 'decode', 30_000) })
   assert.is(only(world.send(arrival('k1')), 'reserve').replicaId, 'd2')
 })
