--- a/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
@@ -7,7 +7,7 @@
  */
 import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
 import { backoffLeftMs, takeNotice } from '../notices/BendfallRouterNotices.js'
-import { isLeaving } from './BendfallRouterBelief.js'
+import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
 import type { RequestState } from './BendfallRouterRequest.js'
@@ -66,7 +66,7 @@
  */
 export function refuseBackoff (context: RouterContext, request: RequestState, stage: 'decode' | 'plain'): NextStep {
   const { nowMs, state } = context
-  const staying = (state.usedByService.get(request.service) ?? []).filter((belief) => stageIs(belief, stage) && !isLeaving(state, belief))
+  const staying = (state.usedByService.get(request.service) ?? []).filter((belief) => stageOf(belief) === stage && !isLeaving(state, belief))
   const left = staying.map(({ replica }) => backoffLeftMs(state.notices, nameProcess(replica), nowMs))
   const retryAfterMs = Math.min(...left.filter((ms) => ms > 0))
   const isAnyOpen = staying.some(({ replica }, index) => left[index] === 0 && !request.excluded.has(replica.replicaId))
@@ -74,7 +74,3 @@
   if (request.isCommitted) return { type: 'cut', reason: 'replicas_back_off' }
   return { type: 'refuse', status: request.runs > 0 ? 502 : 503, reason: 'replicas_back_off', retryAfterMs }
 }
-
-function stageIs ({ load, replica }: ReplicaBelief, stage: 'decode' | 'plain'): boolean {
-  return replica.stage === 'plain' ? stage === 'plain' : (load?.stage ?? replica.stage) === stage
-}
