Revert "Believe of a store's copy only what its owners have written since"

Cause: the first full read of the entry in the new era came after the replicas had written again; what they wrote counted as the copy's, and the stand-ins write once, so that they were missing for good.

To try next: distrust for as long as a registration of the copy can last, three heartbeats, and not longer.

--- a/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
@@ -54,8 +54,7 @@
   readonly onGone: (keys: readonly string[]) => void
   /**
    * Keys that are missing shortly after an outage, which may have lapsed in it or have
-   * been removed, or that an older copy lists and their owners have not written since.
-   * Each is told present or gone within the time in which lapsed ones return, or lapse.
+   * been removed. Each is told present or gone within the time in which lapsed ones return.
    */
   readonly onMissing: (keys: readonly string[], returnedMs: number) => void
   /** All changes up to now were told; `staleMs` is the time since they last were. */
@@ -98,9 +97,6 @@
   let isReachable = true
   let returnedAtMs = -Infinity
   let fullReadAtMs = -Infinity
-  // Entries of up to this revision are those of a copy, which their owners have not written since.
-  let copyRevision = -Infinity
-  let isCopyUnread = false
   let currentAtMs = clock.nowMs()
   let credit = AT_ONCE
   let creditAtMs = clock.nowMs()
@@ -142,13 +138,6 @@
     listener.onGone(gone)
   }
 
-  // What left before a copy was restored is listed by it until it lapses, while owners that
-  // live write again one after the other.
-  function takeUnwritten (entries: readonly KeyValueEntry[]): void {
-    const unwritten = entries.filter(({ revision }) => revision <= copyRevision).map(({ key }) => key)
-    if (unwritten.length > 0) listener.onMissing(unwritten, clock.nowMs() - returnedAtMs)
-  }
-
   async function readAll (): Promise<number | undefined> {
     const outcome = await port.list(prefix)
     if (outcome.type === 'unavailable') {
@@ -159,9 +148,6 @@
     const present = new Set(outcome.entries.map(({ key }) => key))
     takePresent(outcome.entries)
     takeGone([...known].filter((key) => !present.has(key)))
-    if (isCopyUnread) copyRevision = outcome.storeRevision
-    isCopyUnread = false
-    takeUnwritten(outcome.entries)
     noteCurrent()
     fullReadAtMs = clock.nowMs()
     return outcome.storeRevision
@@ -207,7 +193,6 @@
   const stopListening = port.onEra?.(() => {
     returnedAtMs = clock.nowMs()
     fullReadAtMs = -Infinity
-    isCopyUnread = true
   })
 
   async function run (): Promise<void> {
