--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
@@ -34,6 +34,13 @@
   }
 })
 
+test('nobody is refused when a zone is lost before a path that all ask for was served', () => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const { wronglyRefused } = playCrashes({ seed, entries: 5, replicas: 30, perSecond: 2_000, seconds: 2, zoneLostAtMs: 30 })
+    assert.is(wronglyRefused, 0, `seed ${seed}`)
+  }
+})
+
 test('a crash costs the key-value service a report of each entry that had a run there', () => {
   const { poisonCrashes, reports } = playCrashes({ seed: 1, entries: 68, replicas: 84, perSecond: 272, seconds: 12, poisonEachMs: 700 })
   assert.ok(reports <= 4 * poisonCrashes, `${reports} reports of ${poisonCrashes} crashes`)
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterNotice.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterNotice.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { ReplicaNotice, RouterEffect } from '../../index.js'
-import { arrival, createWorld, loadOf, modelWorld, only, plainRoute, replicaOf, typesOf } from './RouterWorld.js'
+import { arrival, createWorld, loadOf, modelWorld, only, plainRoute, replicaOf, summaryRoute, typesOf } from './RouterWorld.js'
 import type { RouterWorld } from './RouterWorld.js'
 
 const BACKS_OFF: ReplicaNotice = { isLeaving: false, backoffMs: 3_000 }
@@ -63,6 +63,30 @@
   assert.is(only(world.send(arrival('k1')), 'reserve').replicaId, 'd2')
 })
 
+test('a run that was parked goes to no replica that spoke meanwhile', () => {
+  for (const notice of [LEAVES, BACKS_OFF]) {
+    const world = modelWorld()
+    const attempt = confirming(world)
+    world.freeze(2_000)
+    world.send({ type: 'confirm_answered', key: 'k1', attempt, outcome: 'free' })
+    world.send({ type: 'replica_spoke', replicaId: 'd1', notice })
+    const effects = world.send({ type: 'replicas_refreshed' })
+    assert.ok(effects.every((effect) => effect.type !== 'send_run' || effect.replicaId !== 'd1'))
+  }
+})
+
+test('a replica that leaves or backs off gets no order', () => {
+  for (const notice of [LEAVES, BACKS_OFF]) {
+    const world = createWorld([summaryRoute()], ['d1', 'd2', 'd3', 'd4', 'd5'].map((id) => replicaOf(id, 'decode')))
+    world.state.poolIntent = { usualPrefillShare: 0.25, leastPrefillShare: 0.1, leastPrefillReplicas: 1, mostPrefillShare: 0.5 }
+    for (const id of ['d1', 'd2', 'd3', 'd4', 'd5']) world.send({ type: 'load_learned', load: loadOf(id, 'decode', 37_000) })
+    for (const id of ['d1', 'd2', 'd3']) world.send({ type: 'replica_spoke', replicaId: id, notice })
+    const ordered = world.send({ type: 'balance_due', fence: 3 }).flatMap((effect) => effect.type === 'order_stage' ? [effect.replicaId] : [])
+    assert.is(ordered.length, 1)
+    assert.ok(['d4', 'd5'].includes(ordered[0] ?? ''), ordered.join(' '))
+  }
+})
+
 test('when all replicas back off a call is refused at once with the shortest time left', () => {
   const world = plainWorld()
   world.send({ type: 'replica_spoke', replicaId: 'a1', notice: BACKS_OFF })
