Take copies that were under way when replicas ended together for one crash at first

Mend: crashes under requests that were sent before the first of these crashes was known count as one for a second, in which another copy may be served and clears the path. What is sent after a crash is known and crashes again counts at once, as do the reports of other entries.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
@@ -41,6 +41,11 @@
   }
 })
 
+test('nobody is refused when a zone is lost before a path that all ask for was served, reports first', () => {
+  const { wronglyRefused } = playCrashes({ seed: 258, entries: 5, replicas: 30, perSecond: 2_000, seconds: 2, zoneLostAtMs: 30 })
+  assert.is(wronglyRefused, 0)
+})
+
 test('a crash costs the key-value service a report of each entry that had a run there', () => {
   const { poisonCrashes, reports } = playCrashes({ seed: 1, entries: 68, replicas: 84, perSecond: 272, seconds: 12, poisonEachMs: 700 })
   assert.ok(reports <= 4 * poisonCrashes, `${reports} reports of ${poisonCrashes} crashes`)
@@ -102,6 +107,21 @@
   only(world.send(arrival('other', '/rates/1')), 'send_run')
 })
 
+test('copies that were under way when replicas ended together are doubted for a second only', () => {
+  const world = once()
+  const sends = ['k1', 'k2', 'k3'].map((key) => only(world.send(withFingerprint(arrival(key, '/rates/1'), 'same')), 'send_run'))
+  assert.is(new Set(sends.map(({ replicaId }) => replicaId)).size, 3)
+  world.wait(10)
+  for (const { attempt, key, replicaId } of sends) {
+    world.send({ type: 'run_failed', key, attempt, failure: 'connection_lost' })
+    world.send({ type: 'replica_checked', replicaId, startedAtMs: 1, outcome: 'ended' })
+  }
+  const early = only(world.send(withFingerprint(arrival('k4', '/rates/1'), 'same')), 'send_run')
+  world.send({ type: 'caller_left', key: early.key })
+  world.wait(1_000)
+  assert.is(only(world.send(withFingerprint(arrival('k5', '/rates/1'), 'same')), 'refuse').reason, 'crashes_replicas')
+})
+
 test('one more try is made once the oldest of three crashes has lapsed', () => {
   const world = once()
   for (const key of ['k1', 'k2', 'k3']) {
--- a/packages/bendfall-router/src/crashes/BendfallRouterCrashCount.ts
+++ b/packages/bendfall-router/src/crashes/BendfallRouterCrashCount.ts
@@ -8,6 +8,9 @@
 /** Crashes within this are one event: a zone that loses power ends many replicas under one polled path. */
 const SAME_EVENT_MS = 500
 
+/** Crashes under copies that were sent before the first of them was known count as one for this long: time for another copy to be served. */
+const DOUBT_MS = 1_000
+
 /** Answers to others between two events that tell of a request; with fewer the service itself may be sick. */
 const ANSWERS_BETWEEN = 4
 
@@ -40,7 +43,7 @@
     if (nowMs - atMs >= limits.rememberedMs) crashes.delete(name)
   }
   const times = [...crashes.values()].sort((one, other) => one.atMs - other.atMs)
-  const counted = served.has(fingerprint) ? separate(times) : times
+  const counted = served.has(fingerprint) ? separate(times) : independent(times, nowMs)
   const isCause = counted.length >= limits.replicas
   const lastNeededAtMs = counted[counted.length - limits.replicas]?.atMs ?? -Infinity
   return { processes: [...crashes.keys()], isCause, lapsesInMs: isCause ? lastNeededAtMs + limits.rememberedMs - nowMs : 0 }
@@ -59,6 +62,18 @@
   return countCrashes(records, fingerprint, nowMs).processes.length + unchecked
 }
 
+// Copies that were under way at once may have met one cause that is none of theirs, such as the
+// loss of a zone; what is sent after a crash is known and crashes again has met the request.
+function independent (times: readonly ProcessTime[], nowMs: number): ProcessTime[] {
+  let knownAtMs = -Infinity
+  return times.filter(({ atMs, isOwn, sentAtMs }) => {
+    if (!isOwn || sentAtMs === undefined || nowMs - atMs >= DOUBT_MS) return true
+    if (sentAtMs < knownAtMs) return false
+    knownAtMs = atMs
+    return true
+  })
+}
+
 function separate (times: readonly ProcessTime[]): ProcessTime[] {
   const events: ProcessTime[] = []
   for (const time of times) {
--- a/packages/bendfall-router/src/crashes/BendfallRouterCrashRecords.ts
+++ b/packages/bendfall-router/src/crashes/BendfallRouterCrashRecords.ts
@@ -35,6 +35,8 @@
   readonly isOwn: boolean
   /** Answers that this entry had passed on by then. */
   readonly answers: number
+  /** When the request was sent there; absent where another entry sent it. */
+  readonly sentAtMs?: number
 }
 
 /** A time without the answers passed on by then. */
@@ -43,7 +45,8 @@
 /** A process on which connections were lost and of which it is not known whether it ended. */
 export interface LostProcess {
   readonly process: ReplicaProcess
-  readonly fingerprints: Set<string>
+  /** Suspected requests, each with the time at which it was sent there. */
+  readonly fingerprints: Map<string, number>
   readonly lostAtMs: number
   /** Whether a process took a connection there after that: this one, or one that started again at once. */
   isAnswering: boolean
@@ -91,16 +94,22 @@
   return startedAtMs === undefined ? replicaId : `${replicaId}/${startedAtMs}`
 }
 
+/** A request under which a connection was lost. */
+export interface Suspect {
+  readonly fingerprint: string
+  readonly sentAtMs: number
+}
+
 /**
  * Notes that a connection was lost under a request.
  *
  * @param records - changed in place
  * @param process - at the other end
- * @param fingerprint - of the request; absent: it is not suspected
+ * @param suspect - the request; absent: it is not suspected
  * @param nowMs - the time
  * @returns whether the process is worth a check: none is under way
  */
-export function noteLost ({ lost }: CrashRecords, process: ReplicaProcess, fingerprint: string | undefined, nowMs: number): boolean {
+export function noteLost ({ lost }: CrashRecords, process: ReplicaProcess, suspect: Suspect | undefined, nowMs: number): boolean {
   for (const [name, { lostAtMs }] of lost) {
     if (nowMs - lostAtMs < LOST_MS) break
     lost.delete(name)
@@ -109,8 +118,8 @@
   const known = lost.get(name)
   const isChecked = known?.isAnswering === true
   if (known !== undefined) known.isAnswering = false
-  const one = known ?? { process, fingerprints: new Set<string>(), lostAtMs: nowMs, isAnswering: false }
-  if (fingerprint !== undefined) one.fingerprints.add(fingerprint)
+  const one = known ?? { process, fingerprints: new Map<string, number>(), lostAtMs: nowMs, isAnswering: false }
+  if (suspect !== undefined) one.fingerprints.set(suspect.fingerprint, suspect.sentAtMs)
   lost.set(name, one)
   return known === undefined || isChecked
 }
@@ -140,8 +149,8 @@
   const one = records.lost.get(name)
   if (one === undefined) return undefined
   records.lost.delete(name)
-  for (const fingerprint of one.fingerprints) addTime(records, 'suspects', fingerprint, name, { atMs: nowMs, isOwn: true })
-  return [...one.fingerprints]
+  for (const [fingerprint, sentAtMs] of one.fingerprints) addTime(records, 'suspects', fingerprint, name, { atMs: nowMs, isOwn: true, sentAtMs })
+  return [...one.fingerprints.keys()]
 }
 
 /**
@@ -192,11 +201,11 @@
  * @param name - of the process
  * @param sighting - when, and by whom
  */
-export function addTime ({ answers, ...records }: CrashRecords, kind: 'suspects' | 'cleared', fingerprint: string, name: string, { atMs, isOwn }: Sighting): void {
+export function addTime ({ answers, ...records }: CrashRecords, kind: 'suspects' | 'cleared', fingerprint: string, name: string, { atMs, isOwn, sentAtMs }: Sighting): void {
   const all = records[kind]
   const times = all.get(fingerprint) ?? new Map<string, ProcessTime>()
   const known = times.get(name)
-  if (known === undefined) times.set(name, { atMs, isOwn, answers })
+  if (known === undefined) times.set(name, { atMs, isOwn, answers, sentAtMs })
   else if (isOwn) times.set(name, { ...known, isOwn })
   all.delete(fingerprint)
   all.set(fingerprint, times)
--- a/packages/bendfall-router/src/entry/BendfallRouterCrashes.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterCrashes.ts
@@ -35,7 +35,8 @@
   const { effects, nowMs, state } = context
   const { sentTo } = request
   if (sentTo === undefined) return
-  const isFirst = noteLost(state.crashes, sentTo, isSuspect(context, request) ? request.fingerprint : undefined, nowMs)
+  const suspect = isSuspect(context, request) ? { fingerprint: request.fingerprint, sentAtMs: request.runSentAtMs ?? nowMs } : undefined
+  const isFirst = noteLost(state.crashes, sentTo, suspect, nowMs)
   const replica = state.replicas.get(sentTo.replicaId)?.replica
   if (replica === undefined || replica.startedAtMs !== sentTo.startedAtMs) return noteProcessEnded(context, sentTo, 'registration')
   if (isFirst) effects.push({ type: 'check_replica', replicaId: sentTo.replicaId, startedAtMs: sentTo.startedAtMs, address: replica.address })
