Soak: customers whose keys come and go, and one that asks for more than its limit

A fourth plan: keys are taken away, given back and moved between customers while entries are cut off from the store for longer than keys are believed, killed, stopped, paused and restarted. Judged: each run is for who had the key when the call began, or within the bound before; no replica sees a key; no window of a limited customer has more than its bound; no process writes a key.

--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetCaller.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetCaller.ts
@@ -15,6 +15,8 @@
   readonly requestId: string
   /** `/KIND/1` when absent. */
   readonly path?: string
+  /** Of a customer; absent where callers need none. */
+  readonly key?: string
 }
 
 /** What became of a call. */
@@ -24,6 +26,8 @@
   /** `ip:port` of the entry. */
   readonly entry: string
   readonly startedAtMs: number
+  /** Key that it was sent with. */
+  readonly key?: string
   /** When its answer began; absent without one. */
   answeredAtMs?: number
   /** Replica that vouches for the answer. */
@@ -48,10 +52,10 @@
  * @param asked - kind, id and path
  * @returns what became of it
  */
-export function call (address: string, host: string, { kind, path = `/${kind}/1`, requestId }: CallRequest): Promise<CallRecord> {
-  const record: CallRecord = { requestId, kind, entry: address, startedAtMs: performance.now(), status: 0, isWhole: false, body: '' }
+export function call (address: string, host: string, { key, kind, path = `/${kind}/1`, requestId }: CallRequest): Promise<CallRecord> {
+  const record: CallRecord = { requestId, kind, key, entry: address, startedAtMs: performance.now(), status: 0, isWhole: false, body: '' }
   const [ip = '', port = ''] = address.split(':')
-  const headers = { host, 'x-request-id': requestId, 'x-deadline-ms': '5000', ...(KINDS_WITH_PROMPT.has(kind) ? { 'x-token-counts': TOKENS } : {}) }
+  const headers = { host, 'x-request-id': requestId, 'x-deadline-ms': '5000', ...(KINDS_WITH_PROMPT.has(kind) ? { 'x-token-counts': TOKENS } : {}), ...(key === undefined ? {} : { 'x-api-key': key }) }
   return new Promise((resolve) => {
     const finish = (): void => resolve(record)
     const request = httpRequest({ host: ip, port: Number(port), path, method: kind === 'rate' ? 'GET' : 'POST', agent, headers, timeout: CALL_TIMEOUT_MS }, (response) => read(response, record, finish))
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -10,17 +10,19 @@
 import { call, findWrongAnswer } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
 import type { SeenOrder } from '../BendfallFakesFleetReplica.js'
-import { ALL_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS, NOTICE_FAULTS } from './BendfallFakesSoakFaults.js'
+import { ALL_FAULTS, CUSTOMER_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS, NOTICE_FAULTS } from './BendfallFakesSoakFaults.js'
+import { createSoakCustomers, findWrittenKeys, STEADY_KEY } from './BendfallFakesSoakCustomers.js'
 import { POISON_PATH, SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet } from './BendfallFakesSoakFleet.js'
 import { findCrashFaults, findInBackoff, findLateToLeaving } from './BendfallFakesSoakNotices.js'
 import type { IsCalm, NoticeEvidence } from './BendfallFakesSoakNotices.js'
 
 /**
- * Faults that a soak draws from: all, a store that comes back from older copies, or what
- * replicas say of themselves beside a request that ends each replica which runs it.
+ * Faults that a soak draws from: all, a store that comes back from older copies, what
+ * replicas say of themselves beside a request that ends each replica which runs it, or
+ * customers whose keys come and go and of whom one asks for more than its limit.
  */
-export type SoakPlan = 'faults' | 'drills' | 'notices'
+export type SoakPlan = 'customers' | 'faults' | 'drills' | 'notices'
 
 /** Result of a soak. */
 export interface SoakResult {
@@ -74,6 +76,7 @@
 
 // In a third of the seeds no fault excuses a late send to a replica that leaves.
 const FAULTS_OF: Readonly<Record<SoakPlan, (seed: number) => readonly string[]>> = {
+  customers: () => CUSTOMER_FAULTS,
   drills: () => DRILL_FAULTS,
   faults: (seed) => seed % LEAVING_EVERY === 0 ? LEAVING_FAULTS : ALL_FAULTS,
   notices: () => NOTICE_FAULTS
@@ -88,7 +91,7 @@
  * @returns what was seen
  */
 export async function soakFleet (seed: number, seconds: number, plan: SoakPlan = 'faults'): Promise<SoakResult> {
-  const fleet = await startSoakFleet()
+  const fleet = await startSoakFleet(plan === 'customers' ? createSoakCustomers() : undefined)
   const records: CallRecord[] = []
   const faults: SoakFault[] = []
   const names = FAULTS_OF[plan](seed)
@@ -102,7 +105,7 @@
       ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), names, faults, isOver))
     ])
     const evidence = { fleet, records, isCalm: createCalm(faults) }
-    const violations = [...findViolations(fleet, records), ...findLateArrivals(evidence), ...findLateToLeaving(evidence), ...findInBackoff(evidence), ...findCrashFaults(evidence), ...findFenceFaults(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
+    const violations = [...findViolations(fleet, records), ...findCustomerFaults(fleet, records), ...findLateArrivals(evidence), ...findLateToLeaving(evidence), ...findInBackoff(evidence), ...findCrashFaults(evidence), ...findFenceFaults(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
     const answered = records.filter(({ isWhole, status }) => status === 200 && isWhole).length
     const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
     const orders = fleet.models.reduce((sum, { replica }) => sum + replica.orders.length, 0)
@@ -115,7 +118,7 @@
 async function callOn (fleet: SoakFleet, name: string, draw: Draw, records: CallRecord[], isOver: () => boolean): Promise<void> {
   for (let i = 0; !isOver(); i++) {
     const entry = draw(fleet.entries)
-    records.push(await call(entry, SOAK_HOST, { kind: draw(KINDS), requestId: `${name}-${i}` }))
+    records.push(await call(entry, SOAK_HOST, { kind: draw(KINDS), requestId: `${name}-${i}`, key: fleet.customers?.drawKey(draw) }))
     await sleep(CALL_PAUSE_MS)
   }
 }
@@ -149,6 +152,12 @@
   })
 }
 
+function findCustomerFaults ({ customers, models, nodes, plain }: SoakFleet, records: readonly CallRecord[]): string[] {
+  if (customers === undefined) return []
+  const runs = [...models, ...plain].flatMap(({ replica }) => replica.seen.filter(({ isRefused, kind }) => kind === 'run' && !isRefused))
+  return [...customers.judge(records, runs), ...findWrittenKeys(nodes.flatMap(({ process }) => process.lines))]
+}
+
 function createCalm (faults: readonly SoakFault[]): IsCalm {
   const excuses = faults.filter(({ name }) => EXCUSING.test(name))
   return (atMs) => excuses.every(({ fromMs, untilMs }) => atMs < fromMs || atMs > untilMs + CALM_MS)
@@ -206,7 +215,7 @@
 }
 
 async function isServed (fleet: SoakFleet, entry: string, kind: CallKind, requestId: string): Promise<boolean> {
-  const { isWhole, status } = await call(entry, SOAK_HOST, { kind, requestId })
+  const { isWhole, status } = await call(entry, SOAK_HOST, { kind, requestId, key: fleet.customers === undefined ? undefined : STEADY_KEY })
   return status === 200 && isWhole
 }
 
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -19,6 +19,9 @@
 
 const MS_PER_SECOND = 1_000
 
+/** Time for which entries don't reach the store: longer than keys are believed. */
+const CUT_MS = 4_500
+
 /** What another writer may leave among the registrations. */
 const FOREIGN_ENTRIES: ReadonlyArray<(address: string) => unknown> = [
   () => 'no registration',
@@ -52,6 +55,13 @@
     await sleep(seconds * MS_PER_SECOND)
     return `${replicaId} ${seconds} s`
   },
+  cut_off: async ({ storeProxy }, draw) => {
+    const fault = draw(['one_way', 'silent'] as const)
+    storeProxy.harm(fault)
+    await sleep(CUT_MS)
+    storeProxy.harm(undefined)
+    return fault
+  },
   foreign: async ({ plain, store }, draw) => {
     const { proxy } = draw(plain)
     store.put('servers/foreign', draw(FOREIGN_ENTRIES)(proxy.address))
@@ -59,6 +69,12 @@
     store.remove('servers/foreign')
     return proxy.address
   },
+  keys: async ({ configure, customers }, draw) => {
+    const changed = customers?.change(draw)
+    configure()
+    await sleep(draw([0, ...FAULT_MS]))
+    return changed ?? 'nobody'
+  },
   kill: async (fleet, draw) => {
     const node = draw(fleet.nodes)
     await end(node, 'SIGKILL', draw)
@@ -159,7 +175,7 @@
 const DRILL = 'store_restored'
 
 /** Names of the faults by which former seeds drew. */
-const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'say_leaving'])
+const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'cut_off', 'keys', 'say_leaving'])
 export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS).filter((name) => !LATER_FAULTS.has(name))
 
 /** Replicas that leave, or back off, by their own answers alone, beside others that are registered or start again. */
@@ -168,6 +184,9 @@
 /** Drills in which the store comes back from a copy, also twice in a row, among replicas that leave and entries that pause. */
 export const DRILL_FAULTS: readonly string[] = [DRILL, DRILL, 'leave', 'leave', 'pause', 'reset', 'restart', 'silence', 'store_fails']
 
+/** Keys that are taken away, given back and moved, while entries are cut off, turned away, stopped, paused and killed. */
+export const CUSTOMER_FAULTS: readonly string[] = ['cut_off', 'cut_off', 'keys', 'keys', 'keys', 'keys', 'kill', 'pause', 'proxy', 'replica', 'reset', 'silence', 'store_fails', 'store_forgets', 'terminate']
+
 /** Faults that excuse no entry from knowing what leaves. */
 export const LEAVING_FAULTS: readonly string[] = ['foreign', 'leave', 'leave', 'reset', 'restart', 'silence']
 
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -18,6 +18,8 @@
 import { startFleetReplica } from '../BendfallFakesFleetReplica.js'
 import type { FleetStore } from '../BendfallFakesFleetStore.js'
 import { startFleetStore } from '../BendfallFakesFleetStore.js'
+import { SOAK_ALLOTMENTS, SOAK_REVOKED_WITHIN_MS } from './BendfallFakesSoakCustomers.js'
+import type { SoakCustomers } from './BendfallFakesSoakCustomers.js'
 import type { FleetProxy } from './BendfallFakesFleetProxy.js'
 import { startFleetProxy } from './BendfallFakesFleetProxy.js'
 
@@ -82,6 +84,8 @@
   readonly notices: SoakNotice[]
   /** Monotonic times at which replicas ended under the request that ends them. */
   readonly crashes: readonly number[]
+  /** Absent where callers need no keys. */
+  readonly customers?: SoakCustomers
   /** Writes the configuration, as the operator does. */
   readonly configure: () => void
   readonly away: Absence[]
@@ -104,9 +108,10 @@
  * Starts the fleet: two entries, a prefill and two decode replicas with their
  * sidecars, and two plain replicas.
  *
+ * @param customers - who have keys; absent: callers need none
  * @returns the fleet once all of it listens
  */
-export async function startSoakFleet (): Promise<SoakFleet> {
+export async function startSoakFleet (customers?: SoakCustomers): Promise<SoakFleet> {
   const folder = mkdtempSync(join(tmpdir(), 'bendfall-soak-'))
   const store = await startFleetStore(ip(1))
   const storeProxy = await startFleetProxy(store.address)
@@ -120,11 +125,15 @@
   for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(store, ip(11 + index), `m${index}`, onCrash, stage))
   const plain = [await startReplica(store, ip(21), 'a0', onCrash), await startReplica(store, ip(22), 'a1', onCrash), await startReplica(store, ip(23), 'a2', onCrash)]
   for (const one of [...models, ...plain]) one.register('ready')
-  const configure = (): void => store.put('op/config', CONFIG)
+  let version = 0
+  const configure = (): void => {
+    version += 1
+    store.put('op/config', customers === undefined ? CONFIG : { ...CONFIG, version, tenants: customers.tenants() })
+  }
   configure()
   const poolsFile = join(folder, 'pools.json')
   writeFileSync(poolsFile, JSON.stringify({ intent: POOL_INTENT, confirmedDigest: digestPoolIntent(POOL_INTENT) }))
-  const shared = { poolsFile, availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4 }
+  const shared = { poolsFile, availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4, credentials: { revokedWithinMs: SOAK_REVOKED_WITHIN_MS }, allotments: SOAK_ALLOTMENTS }
   const entryIps = [ip(2), ip(3)]
   const nodes = [
     ...await Promise.all(models.map(({ replica }, index) => startNode(folder, 'sidecar', { ...shared, instanceId: `sidecar-${index}`, ip: hostOf(replica.address), replicaAddress: replica.address }))),
@@ -133,6 +142,7 @@
   return {
     ...words,
     crashes,
+    customers,
     configure,
     store,
     storeProxy,
