--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -9,7 +9,7 @@
 import { createSuspensionWatch, createSystemClock, createTeardownStack, createUpdateLoop, listen } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
 import { ALLOTMENT_ROLES, createRouterState, credentialsOf, isKnowledgeFresh, reduceRouter, TICK_MS } from 'bendfall-router'
-import type { Customer, PoolIntent, RouterEffect, RouterEffectOf, RouterEvent, RouterState } from 'bendfall-router'
+import type { Customer, PoolIntent, RouterEffect, RouterEvent, RouterState } from 'bendfall-router'
 import type { Dialect } from './BendfallEdgeDialect.js'
 import type { EdgeSettings } from './BendfallEdgeSettings.js'
 import { allotmentBoundsOf, budgetLimitsOf, CONFIG_APPLY_MS, crashLimitsOf, credentialLimitsOf, decisionsOf, DRAIN_MS } from './BendfallEdgeSettings.js'
@@ -24,6 +24,7 @@
 import { registerCrashReports } from './crashes/BendfallEdgeCrashReports.js'
 import { registerDirectory } from './directory/BendfallEdgeDirectory.js'
 import { registerLedgerClients } from './ledger/BendfallEdgeLedgerClients.js'
+import { registerDecisionLog, registerEraLog } from './observe/BendfallEdgeDecisionLog.js'
 import { createMetrics } from './observe/BendfallEdgeMetrics.js'
 import type { Metrics } from './observe/BendfallEdgeMetrics.js'
 import { registerPools } from './pools/BendfallEdgePools.js'
@@ -130,7 +131,7 @@
     state.poolIntent = options.poolIntent
     teardowns.push(registerPools({ loop, port: keyValue, dialect: dialect.replica, logger, instanceId: settings.instanceId, poolOf: pools.at }))
   }
-  registerLog(loop, logger, metrics)
+  registerDecisionLog(loop, logger, metrics)
   teardowns.push(registerEraLog(keyValue, logger, metrics))
   const allotments = await registerAllotments({
     loop,
@@ -266,34 +267,3 @@
     exchanges.delete(key)
   })
 }
-
-function registerEraLog (port: KeyValuePort, logger: Logger, metrics: Metrics): Teardown {
-  return port.onEra?.((change) => {
-    metrics.count('bendfall_store_eras_total')
-    logger.warn('store_era', { ...change })
-  }) ?? (() => {})
-}
-
-const OUTCOMES: ReadonlySet<string> = new Set(['answered', 'refused', 'cut', 'cancelled'])
-
-/** Customers that have counters of their own; the others are counted together. */
-const MOST_COUNTED_CUSTOMERS = 1_000
-
-function registerLog (loop: UpdateLoop<RouterEvent, RouterEffect>, logger: Logger, metrics: Metrics): void {
-  const counted = new Set<string>()
-  const countCustomer = (customer: string, outcome: string): void => {
-    if (counted.size < MOST_COUNTED_CUSTOMERS) counted.add(customer)
-    metrics.count('bendfall_customer_requests_total', { customer: counted.has(customer) ? customer : 'other', outcome })
-  }
-  loop.registerEffect('log', ({ decision, inputs, requestId }: RouterEffectOf<'log'>) => {
-    logger.info(decision, { request: requestId === '' ? undefined : requestId, ...inputs })
-    if (decision === 'answer_started') metrics.measureMs('bendfall_first_byte_milliseconds', Number(inputs['ageMs']), { route: String(inputs['route']) })
-    if (decision === 'retry_budget_spent') metrics.count('bendfall_retries_unpaid_total', { service: String(inputs['service']) })
-    if (decision === 'replica_crashed') metrics.count('bendfall_replica_crashes_total')
-    if (!OUTCOMES.has(decision)) return
-    const labels = { outcome: decision, route: String(inputs['route'] ?? ''), reason: String(inputs['reason'] ?? '') }
-    metrics.count('bendfall_requests_total', labels)
-    if (typeof inputs['customer'] === 'string') countCustomer(inputs['customer'], inputs['status'] === 429 ? 'beyond_allotment' : decision)
-    if (typeof inputs['ageMs'] === 'number') metrics.measureMs('bendfall_request_duration_milliseconds', inputs['ageMs'], { outcome: decision })
-  })
-}
--- /dev/null
+++ b/packages/bendfall-edge/src/observe/BendfallEdgeDecisionLog.ts
@@ -0,0 +1,61 @@
+/**
+ * Writes the decisions of an entry as log lines and counts their outcomes.
+ *
+ * @module
+ */
+import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
+import type { KeyValuePort } from 'bendfall-platform'
+import type { RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
+import type { Metrics } from './BendfallEdgeMetrics.js'
+
+const OUTCOMES: ReadonlySet<string> = new Set(['answered', 'refused', 'cut', 'cancelled'])
+
+const BEYOND_ALLOTMENT_STATUS = 429
+
+/** Customers that have counters of their own; the others are counted together. */
+const MOST_COUNTED_CUSTOMERS = 1_000
+
+/**
+ * Registers the effect `log`.
+ *
+ * @param loop - update path
+ * @param logger - takes the lines
+ * @param metrics - takes the counts
+ */
+export function registerDecisionLog (loop: UpdateLoop<RouterEvent, RouterEffect>, logger: Logger, metrics: Metrics): void {
+  const countCustomer = createCustomerCounter(metrics)
+  loop.registerEffect('log', ({ decision, inputs, requestId }: RouterEffectOf<'log'>) => {
+    logger.info(decision, { request: requestId === '' ? undefined : requestId, ...inputs })
+    if (decision === 'answer_started') metrics.measureMs('bendfall_first_byte_milliseconds', Number(inputs['ageMs']), { route: String(inputs['route']) })
+    if (decision === 'retry_budget_spent') metrics.count('bendfall_retries_unpaid_total', { service: String(inputs['service']) })
+    if (decision === 'replica_crashed') metrics.count('bendfall_replica_crashes_total')
+    if (!OUTCOMES.has(decision)) return
+    const labels = { outcome: decision, route: String(inputs['route'] ?? ''), reason: String(inputs['reason'] ?? '') }
+    metrics.count('bendfall_requests_total', labels)
+    if (typeof inputs['customer'] === 'string') countCustomer(inputs['customer'], inputs['status'] === BEYOND_ALLOTMENT_STATUS ? 'beyond_allotment' : decision)
+    if (typeof inputs['ageMs'] === 'number') metrics.measureMs('bendfall_request_duration_milliseconds', inputs['ageMs'], { outcome: decision })
+  })
+}
+
+function createCustomerCounter (metrics: Metrics): (customer: string, outcome: string) => void {
+  const counted = new Set<string>()
+  return (customer, outcome) => {
+    if (counted.size < MOST_COUNTED_CUSTOMERS) counted.add(customer)
+    metrics.count('bendfall_customer_requests_total', { customer: counted.has(customer) ? customer : 'other', outcome })
+  }
+}
+
+/**
+ * Logs and counts eras of the key-value service.
+ *
+ * @param port - of the service
+ * @param logger - takes the lines
+ * @param metrics - takes the count
+ * @returns teardown
+ */
+export function registerEraLog (port: KeyValuePort, logger: Logger, metrics: Metrics): Teardown {
+  return port.onEra?.((change) => {
+    metrics.count('bendfall_store_eras_total')
+    logger.warn('store_era', { ...change })
+  }) ?? (() => {})
+}
