One module for connections between processes of the router

The keepers of allotments had written the options of such connections a second time, and a test its scene.

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
@@ -78,6 +78,16 @@
 const writtenAgain = (...keys: string[]): ListOutcome => ({ type: 'listed', entries: keys.map((key) => ({ ...entry(key), revision: 8 })), storeRevision: 9 })
 const deleted = (key: string): WatchOutcome => ({ type: 'changed', entries: [], deletedKeys: [key], storeRevision: 6 })
 
+/** A service that lists the same entry before and after an era began. */
+function createCopyScene (): ReturnType<typeof createScene> {
+  const unchanged = { type: 'unchanged', storeRevision: 6 } as const
+  return createScene({
+    lists: [listed('a'), listed('a'), listed('a'), listed('a')],
+    watches: [{ afterMs: 100, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }],
+    hasEras: true
+  })
+}
+
 test('an entry that is deleted is gone at once while the service is well', async () => {
   const scene = createScene({ lists: [listed('a', 'b')], watches: [{ afterMs: 10, outcome: deleted('a') }] })
   await scene.run(1_000)
@@ -102,12 +112,7 @@
 })
 
 test('what an owner wrote before the copy was first read, and not since, is back once the copy has lapsed', async () => {
-  const unchanged = { type: 'unchanged', storeRevision: 6 } as const
-  const scene = createScene({
-    lists: [listed('a'), listed('a'), listed('a'), listed('a')],
-    watches: [{ afterMs: 100, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }],
-    hasEras: true
-  })
+  const scene = createCopyScene()
   await scene.run(50)
   scene.beginEra()
   await scene.run(3_000)
@@ -221,12 +226,7 @@
 })
 
 test('until what was written last is written again a copy proves nothing', async () => {
-  const unchanged = { type: 'unchanged', storeRevision: 6 } as const
-  const scene = createScene({
-    lists: [listed('a'), listed('a'), listed('a'), listed('a')],
-    watches: [{ afterMs: 100, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }, { afterMs: 2_000, outcome: unchanged }],
-    hasEras: true
-  })
+  const scene = createCopyScene()
   await scene.run(50)
   scene.beginEra()
   await scene.run(2_400)
--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
@@ -4,13 +4,14 @@
  *
  * @module
  */
-import { AnsweringSessionManager, callUnary, combineTeardowns, listenForPeers, serveUnary } from 'bendfall-node'
-import type { Logger, Teardown, UpdateLoop } from 'bendfall-node'
+import { callUnary, combineTeardowns, listenForPeers, serveUnary } from 'bendfall-node'
+import type { AnsweringSessionManager, Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import type { KeyValueEntry, KeyValuePort } from 'bendfall-platform'
 import { AllotmentService } from 'bendfall-protocol'
 import { ALLOTMENT_ROLES } from 'bendfall-router'
 import type { AllotmentBounds, AllotmentRole, Customer, RouterEffect, RouterEffectOf, RouterEvent, UnitsOutcome } from 'bendfall-router'
 import { withTimeout } from '../ledger/BendfallEdgeLedgerMessages.js'
+import { createPeerSession } from '../peer/BendfallEdgePeerSession.js'
 import { decodeKeeper, keyOfRole } from './BendfallEdgeAllotmentDocument.js'
 import type { KeeperPlace } from './BendfallEdgeAllotmentDocument.js'
 import { joinAllotmentDuties } from './BendfallEdgeAllotmentDuty.js'
@@ -22,13 +23,6 @@
 /** After an ask without an answer the next ones go elsewhere at once, for so long. */
 const AVOIDED_MS = 250
 
-/** A connection without an answer to a PING for this long is given up. */
-const PING_TIMEOUT_MS = 400
-const PING_INTERVAL_MS = 1_500
-
-/** Keeps the connection between requests. */
-const IDLE_TIMEOUT_MS = 60_000
-
 const LONGEST_RETRY_MS = 600_000
 
 /** What allotments need. */
@@ -87,7 +81,7 @@
     if (former?.place.address === place?.address && former?.place.instanceId === place?.instanceId) return
     former?.session.abort()
     if (place === undefined) keepers.delete(role)
-    else keepers.set(role, { place, session: openSession(place), avoidedUntilMs: -Infinity })
+    else keepers.set(role, { place, session: createPeerSession(place.address), avoidedUntilMs: -Infinity })
     logger.info('allotment_keeper', { role, keeper: place?.instanceId })
     if (place === undefined) duties.look()
     else if (place.instanceId === own.instanceId) duties.reclaim()
@@ -184,10 +178,6 @@
   }
 }
 
-function openSession ({ address }: KeeperPlace): AnsweringSessionManager {
-  return new AnsweringSessionManager(`http://${address}`, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: false, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS })
-}
-
 function isRole (text: string): text is AllotmentRole {
   return (ALLOTMENT_ROLES as readonly string[]).includes(text)
 }
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerSessions.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerSessions.ts
@@ -4,15 +4,9 @@
  *
  * @module
  */
-import { AnsweringSessionManager } from 'bendfall-node'
+import type { AnsweringSessionManager } from 'bendfall-node'
 import type { Replica } from 'bendfall-router'
-
-/** A connection without an answer to a PING for this long is given up. */
-const PING_TIMEOUT_MS = 400
-const PING_INTERVAL_MS = 1_500
-
-/** Keeps the connection between requests. */
-const IDLE_TIMEOUT_MS = 60_000
+import { createPeerSession } from '../peer/BendfallEdgePeerSession.js'
 
 /** Connections to the ledgers of known replicas. */
 export interface LedgerSessions {
@@ -64,6 +58,5 @@
 }
 
 function open (address: string, port: number): AnsweringSessionManager {
-  const host = address.slice(0, address.lastIndexOf(':'))
-  return new AnsweringSessionManager(`http://${host}:${port}`, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: false, idleConnectionTimeoutMs: IDLE_TIMEOUT_MS })
+  return createPeerSession(`${address.slice(0, address.lastIndexOf(':'))}:${port}`)
 }
