Count in a test what was sent and seen within the window, as the bound does

Traced to the check: it counted when runs reached replicas, and one that was granted just before the window came within it; the bound counts what is sent and arrives within.

--- a/packages/bendfall-fakes/src/__tests__/unit/CustomerScene.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/CustomerScene.ts
@@ -166,6 +166,13 @@
 
 let nextId = 1
 
+const SENT_AT_MS = new Map<string, number>()
+
+/** Monotonic time at which a call was sent. */
+export function sentAtMs (id: string): number {
+  return SENT_AT_MS.get(id) ?? -Infinity
+}
+
 /** Calls an entry once. */
 export function callEntry ({ host }: CustomerEntry, call: CustomerCall): Promise<CustomerAnswer> {
   return send(host, CALLERS_PORT, call)
@@ -178,6 +185,7 @@
 
 function send (host: string, port: number, { headers = [], path }: CustomerCall): Promise<CustomerAnswer> {
   const id = `c${nextId++}`
+  SENT_AT_MS.set(id, performance.now())
   const isPrompt = path.startsWith('/s/')
   const raw = [['Host', HOST], ['X-Request-Id', id], ['X-Deadline-Ms', '1500'], ...(isPrompt ? [['X-Token-Counts', MODEL_TOKENS]] : []), ...headers]
   return new Promise((resolve) => {
