Don't give back what a keeper that answers late may have refused

Cause, found while reading the diff: after an ask without an answer in time the entry gave the units back, in case they had been granted. Now nothing is given back there: units that were granted late cost their customer a part of one window.

--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
@@ -117,9 +117,8 @@
       return answer.granted ? { type: 'granted' } : { type: 'refused', retryAfterMs: answer.retryAfterMs }
     } catch (error) {
       logger.warn('allotment_keeper_unreachable', { role: ask.role, keeper: keeper.place.instanceId, error })
+      // Whether it granted them is not known: given back, units that it refused would be granted beyond the limit.
       keeper.avoidedUntilMs = loop.clock.nowMs() + AVOIDED_MS
-      // It may have granted them.
-      tellGivenBack(keeper, ask)
       return { type: 'unreachable' }
     }
   }
