Take crashes that other entries tell of for one event while their copies overlap

Cause: a report named the processes that ended and no times, so that crashes told by others counted at once, while those that an entry saw itself were doubted for a second. Three entries that each lost one copy at the same moment made three crashes of one event.

Mend: a report tells the ages of each crash and of the send before it. The same rule now judges crashes whoever tells of them: copies that were under way when the first crash was known count as one for a second, in which another copy can be served and clears the path everywhere. Only while the process is registered: a report that is read at a start may have stood for long, and the test of an entry that starts again failed without that (502 where 503 is due).

--- a/packages/bendfall-edge/src/crashes/BendfallEdgeCrashDocument.ts
+++ b/packages/bendfall-edge/src/crashes/BendfallEdgeCrashDocument.ts
@@ -13,6 +13,13 @@
 /** Key under which operators have all crashes forgotten; its value differs each time. */
 export const CRASHES_CLEARED_KEY = 'bendfall/crashes-cleared'
 
+const AGE_MS = { type: 'number', minimum: 0 } as const
+
+const AGES = {
+  type: 'object',
+  additionalProperties: { type: 'object', required: ['knownMs', 'sentMs'], properties: { knownMs: AGE_MS, sentMs: AGE_MS } }
+} as const
+
 const SUSPECTS = {
   type: 'array',
   items: {
@@ -20,7 +27,8 @@
     required: ['fingerprint', 'processes'],
     properties: {
       fingerprint: { type: 'string', minLength: 1 },
-      processes: { type: 'array', items: { type: 'string', minLength: 1 } }
+      processes: { type: 'array', items: { type: 'string', minLength: 1 } },
+      ages: AGES
     }
   }
 } as const
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterCrashes.test.ts
@@ -9,6 +9,8 @@
 
 const SEEDS = 50
 
+const LATE_SEEDS = 20
+
 for (const { entries, perSecond, replicas, seeds } of [{ entries: 1, perSecond: 20, replicas: 3, seeds: SEEDS }, { entries: 5, perSecond: 100, replicas: 12, seeds: SEEDS }, { entries: 68, perSecond: 272, replicas: 84, seeds: 3 }, { entries: 840, perSecond: 400, replicas: 200, seeds: 1 }]) {
   test(`a request that crashes replicas is stopped after the third and nobody else is refused, ${entries} entries`, () => {
     for (let seed = 1; seed <= seeds; seed++) {
@@ -46,6 +48,36 @@
   assert.is(wronglyRefused, 0)
 })
 
+// Reports of one loss come one after the other, and so do its halves: neither makes several events of it.
+for (const { name, ...late } of [{ name: 'in two steps', zoneStepMs: 500 }, { name: 'and reports are late', reportMs: 2_000 }, { name: 'in two steps and reports are late', zoneStepMs: 500, reportMs: 2_000 }]) {
+  test(`nobody is refused when a zone is lost ${name}`, () => {
+    for (let seed = 1; seed <= LATE_SEEDS; seed++) {
+      const { wronglyRefused } = playCrashes({ seed, entries: 5, replicas: 30, perSecond: 2_000, seconds: 3, zoneLostAtMs: 30, ...late })
+      assert.is(wronglyRefused, 0, `seed ${seed}`)
+    }
+  })
+}
+
+test('a request that crashes replicas is stopped in time though reports are late', () => {
+  for (let seed = 1; seed <= LATE_SEEDS; seed++) {
+    const { lateSends } = playCrashes({ seed, entries: 5, replicas: 12, perSecond: 100, seconds: 12, poisonEachMs: 700, crashEachMs: 500, reportMs: 1_500 })
+    assert.is(lateSends, 0, `seed ${seed}`)
+  }
+})
+
+// Told at once by entries that each saw one process end: the same event while they are registered, three once they are not.
+test('crashes that others tell of count as one event while their copies overlap, and after a second as they are', () => {
+  const world = once()
+  const ages = { knownMs: 10, sentMs: 60 }
+  for (const [index, { replicaId }] of PLAIN.slice(0, 3).entries()) {
+    world.send({ type: 'crash_report_learned', reporter: `entry-${index + 2}`, report: { suspects: [{ fingerprint: 'same', processes: [`${replicaId}/1`], ages: { [`${replicaId}/1`]: ages } }], cleared: [] } })
+  }
+  const early = only(world.send(withFingerprint(arrival('k1', '/rates/1'), 'same')), 'send_run')
+  world.send({ type: 'caller_left', key: early.key })
+  world.wait(1_000)
+  assert.is(only(world.send(withFingerprint(arrival('k2', '/rates/1'), 'same')), 'refuse').reason, 'crashes_replicas')
+})
+
 test('a crash costs the key-value service a report of each entry that had a run there', () => {
   const { poisonCrashes, reports } = playCrashes({ seed: 1, entries: 68, replicas: 84, perSecond: 272, seconds: 12, poisonEachMs: 700 })
   assert.ok(reports <= 4 * poisonCrashes, `${reports} reports of ${poisonCrashes} crashes`)
--- a/packages/bendfall-router/src/__tests__/unit/CrashWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/CrashWorld.ts
@@ -19,6 +19,10 @@
   readonly crashEachMs?: number
   /** When a third of the replicas crash at once. */
   readonly zoneLostAtMs?: number
+  /** How much later than the first half of that third the second half crashes. */
+  readonly zoneStepMs?: number
+  /** Longest way of a report. */
+  readonly reportMs?: number
 }
 
 /** What came of a play. */
@@ -79,12 +83,12 @@
   }
 
   play (): CrashOutcome {
-    const { crashEachMs, perSecond, poisonEachMs, poisonsAtOnce = 1, seconds, zoneLostAtMs } = this.plan
+    const { crashEachMs, perSecond, poisonEachMs, poisonsAtOnce = 1, seconds, zoneLostAtMs, zoneStepMs = 0 } = this.plan
     const endMs = seconds * 1_000
     for (let i = 0; i < perSecond * seconds; i++) this.time.at(this.time.draw() * endMs, () => this.ask(i % 2 === 0 ? 'polled' : `own-${i}`))
     this.repeat(poisonEachMs, () => { for (let i = 0; i < poisonsAtOnce; i++) this.ask(POISON) })
     this.repeat(crashEachMs, () => this.crash(this.drawProcess()))
-    if (zoneLostAtMs !== undefined) this.time.at(zoneLostAtMs, () => { for (const one of this.alive().filter((_, i) => i % 3 === 0)) this.crash(one) })
+    if (zoneLostAtMs !== undefined) this.time.at(zoneLostAtMs, () => this.loseZone(zoneStepMs))
     this.time.playUntil(endMs)
     const knownAtMs = (this.poisonCrashes[LIMIT - 1] ?? Infinity) + CONTACT_MS
     return {
@@ -96,6 +100,11 @@
     }
   }
 
+  private loseZone (stepMs: number): void {
+    const lost = this.alive().filter((_, i) => i % 3 === 0)
+    for (const [i, one] of lost.entries()) this.time.after(i % 2 === 0 ? 0 : stepMs, () => this.crash(one))
+  }
+
   private repeat (eachMs: number | undefined, act: () => void): void {
     if (eachMs === undefined) return
     for (let atMs = WARM_UP_MS; atMs < this.plan.seconds * 1_000; atMs += eachMs) this.time.at(atMs, act)
@@ -153,8 +162,9 @@
 
   private tell (from: number, report: CrashReport): void {
     this.reports += 1
+    const { reportMs = WATCH_MS } = this.plan
     for (let i = 0; i < this.entries.length; i++) {
-      if (i !== from) this.time.after(TOLD_MS + this.time.draw() * WATCH_MS, () => this.reduce(i, { type: 'crash_report_learned', atMs: this.time.nowMs, reporter: `entry-${from}`, report }))
+      if (i !== from) this.time.after(TOLD_MS + this.time.draw() * reportMs, () => this.reduce(i, { type: 'crash_report_learned', atMs: this.time.nowMs, reporter: `entry-${from}`, report }))
     }
   }
 
--- a/packages/bendfall-router/src/crashes/BendfallRouterCrashCount.ts
+++ b/packages/bendfall-router/src/crashes/BendfallRouterCrashCount.ts
@@ -66,8 +66,8 @@
 // loss of a zone; what is sent after a crash is known and crashes again has met the request.
 function independent (times: readonly ProcessTime[], nowMs: number): ProcessTime[] {
   let knownAtMs = -Infinity
-  return times.filter(({ atMs, isOwn, sentAtMs }) => {
-    if (!isOwn || sentAtMs === undefined || nowMs - atMs >= DOUBT_MS) return true
+  return times.filter(({ atMs, sentAtMs }) => {
+    if (sentAtMs === undefined || nowMs - atMs >= DOUBT_MS) return true
     if (sentAtMs < knownAtMs) return false
     knownAtMs = atMs
     return true
--- a/packages/bendfall-router/src/crashes/BendfallRouterCrashRecords.ts
+++ b/packages/bendfall-router/src/crashes/BendfallRouterCrashRecords.ts
@@ -29,13 +29,13 @@
 
 /** When a process was noted. */
 export interface ProcessTime {
-  /** When this entry learned of it. */
+  /** When this entry learned of it, or the one that saw it by the age that it told. */
   readonly atMs: number
   /** Whether this entry saw it. */
   readonly isOwn: boolean
   /** Answers that this entry had passed on by then. */
   readonly answers: number
-  /** When the request was sent there; absent where another entry sent it. */
+  /** When the request was sent there; absent where that was not told. */
   readonly sentAtMs?: number
 }
 
@@ -94,6 +94,17 @@
   return startedAtMs === undefined ? replicaId : `${replicaId}/${startedAtMs}`
 }
 
+/**
+ * Reads the replica out of the name of a process.
+ *
+ * @param name - of a process
+ * @returns id of its replica
+ */
+export function readReplicaId (name: string): string {
+  const end = name.lastIndexOf('/')
+  return end === -1 ? name : name.slice(0, end)
+}
+
 /** A request under which a connection was lost. */
 export interface Suspect {
   readonly fingerprint: string
--- a/packages/bendfall-router/src/entry/BendfallRouterCrashes.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterCrashes.ts
@@ -5,13 +5,14 @@
  * @module
  */
 import { countCrashes, countSuspicions } from '../crashes/BendfallRouterCrashCount.js'
-import { forgetCrashes, nameProcess, noteAnswering, noteEnded, noteLost, noteServed } from '../crashes/BendfallRouterCrashRecords.js'
+import { forgetCrashes, nameProcess, noteAnswering, noteEnded, noteLost, noteServed, readReplicaId } from '../crashes/BendfallRouterCrashRecords.js'
 import { makeReport, takeReport } from '../crashes/BendfallRouterCrashReport.js'
 import type { ReplicaProcess } from '../crashes/BendfallRouterCrashRecords.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
 import type { RequestState } from './BendfallRouterRequest.js'
+import type { RouterState } from './BendfallRouterState.js'
 
 /** A run that has answered for this long did not end its replica by beginning. */
 const ANSWERED_MS = 1_000
@@ -95,7 +96,12 @@
  * @param event - the report
  */
 export function takeCrashReport ({ nowMs, state }: RouterContext, { report, reporter }: RouterEventOf<'crash_report_learned'>): void {
-  takeReport(state.crashes, report, reporter === state.instanceId, nowMs)
+  takeReport(state.crashes, report, reporter === state.instanceId, nowMs, (process) => isListed(state, process))
+}
+
+function isListed (state: RouterState, process: string): boolean {
+  const replica = state.replicas.get(readReplicaId(process))?.replica
+  return replica !== undefined && nameProcess(replica) === process
 }
 
 /**
