Tell what stood still in a failed process test, and how long the steps of a command take

What could not be told apart: a command of bendfallctl that takes long to start, one that waits for an answer, and one that does not end; an attempt that was lost by a fault, and one whose processes got no processor. A command logs when its steps end (CONSOLA_LEVEL=4), a process of a cluster when it stood still for 0.1 s or longer; a failed process test prints both beside the time lines.

--- a/packages/bendfall-fakes/src/BendfallFakesDemoOperator.ts
+++ b/packages/bendfall-fakes/src/BendfallFakesDemoOperator.ts
@@ -15,7 +15,10 @@
 import type { Fleet } from './BendfallFakesDemoSetup.js'
 
 const CTL_MODULE = fileURLToPath(new URL('./BendfallctlMain.js', import.meta.resolve('bendfallctl')))
-const COMMAND_TIMEOUT_MS = 60_000
+const COMMAND_TIMEOUT_MS = 15_000
+
+/** Has commands tell how long their steps take. */
+const DEBUG_LEVEL = '4'
 
 const run = promisify(execFile)
 
@@ -76,9 +79,10 @@
 }
 
 async function runCtl (args: readonly string[]): Promise<CommandEnd> {
-  const ended = await run(process.execPath, [CTL_MODULE, ...args], { timeout: COMMAND_TIMEOUT_MS }).catch((error: unknown) => error as ExecFileException)
+  const env = { ...process.env, CONSOLA_LEVEL: DEBUG_LEVEL }
+  const ended = await run(process.execPath, [CTL_MODULE, ...args], { timeout: COMMAND_TIMEOUT_MS, env }).catch((error: unknown) => error as ExecFileException)
   // Without this a command that was ended looks like one that failed by itself.
-  if ('killed' in ended && ended.killed === true) throw new Error(`command ${args[0]} was ended after ${COMMAND_TIMEOUT_MS} ms`)
+  if ('killed' in ended && ended.killed === true) throw new Error(`command ${args[0]} was ended after ${COMMAND_TIMEOUT_MS} ms:\n${ended.stderr}`)
   const exitCode = 'code' in ended ? Number(ended.code ?? NaN) : 0
   return { exitCode, output: `${ended.stdout ?? ''}`.trimEnd() }
 }
--- a/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
+++ b/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
@@ -9,6 +9,7 @@
 import { createInterface } from 'node:readline'
 
 const PARENT_WATCH_MODULE = import.meta.resolve('./BendfallFakesParentWatch.js')
+const STALL_WATCH_MODULE = import.meta.resolve('./BendfallFakesStallWatch.js')
 /** Until a process listens: 1 s on an idle machine, 26 s were not enough for a dozen beside a load of 21 on 8 cores. */
 const START_TIMEOUT_MS = 40_000
 const STOP_TIMEOUT_MS = 10_000
@@ -55,7 +56,7 @@
  */
 export async function startProcess (name: string, modulePath: string, args: readonly string[], options: ProcessOptions = {}): Promise<ListeningProcess> {
   const { env = {}, readyEvent = 'listening' } = options
-  const child = spawn(process.execPath, ['--enable-source-maps', '--import', PARENT_WATCH_MODULE, modulePath, ...args], { stdio: ['pipe', 'pipe', 'pipe'], env: { ...process.env, ...env } })
+  const child = spawn(process.execPath, ['--enable-source-maps', '--import', PARENT_WATCH_MODULE, '--import', STALL_WATCH_MODULE, modulePath, ...args], { stdio: ['pipe', 'pipe', 'pipe'], env: { ...process.env, ...env } })
   const lines: string[] = []
   const exited = once(child, 'close').then(([code]) => code as number | null)
   createInterface({ input: child.stderr }).on('line', (line) => lines.push(line))
--- a/packages/bendfall-fakes/src/__tests__/process/ClusterSuite.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/ClusterSuite.ts
@@ -28,6 +28,7 @@
     try {
       await run(cluster)
     } catch (error) {
+      printStalls(cluster)
       await printUnanswered(cluster)
       throw error
     }
@@ -35,6 +36,16 @@
   return { test, run: () => tests.run() }
 }
 
+/** Shows which processes got no processor, and when: a starved machine is told from a fault by it. */
+function printStalls ({ fleet }: Cluster): void {
+  const nodes = [...fleet.sidecars, ...fleet.entries].map(({ process }) => process)
+  for (const { lines, name } of [...nodes, ...fleet.upstreams.values(), fleet.keyValue, fleet.instanceList]) {
+    for (const line of lines) {
+      if (line.includes('event=process_stalled')) console.log(`${name} ${line}`)
+    }
+  }
+}
+
 /** Shows what all processes recorded of the requests that ended without an answer, the first few of them. */
 async function printUnanswered (cluster: Cluster): Promise<void> {
   const events = await cluster.timeline()
