Load only what a command of bendfallctl needs

Operators saw: a command on a machine short of processors takes many seconds before its first step. The process tests saw one that was ended after 15 s, without an exit code.

Cause: each command loaded the modules of all, with the runtime of entries, HTTP/2 and the protocol: 1.1 s of processor time at the start, nine tenths of the command's time.

Mend: commands are loaded when they are called, and settings come from an entry point of bendfall-node of their own.

--- a/packages/bendfallctl/src/BendfallctlCheck.ts
+++ b/packages/bendfallctl/src/BendfallctlCheck.ts
@@ -5,8 +5,8 @@
  */
 import type { Intent, IntentFinding } from 'bendfall-core'
 import { checkIntent } from 'bendfall-core'
-import type { Finding } from 'bendfall-node'
-import { checkDocument, checkSettings, formatFindings, readDocument } from 'bendfall-node'
+import type { Finding } from 'bendfall-node/settings'
+import { checkDocument, checkSettings, formatFindings, readDocument } from 'bendfall-node/settings'
 import type { CommandResult } from './BendfallctlExit.js'
 import { findingsResult } from './BendfallctlIntentFile.js'
 import { INTENT_SCHEMA } from './BendfallctlIntentSchema.js'
--- a/packages/bendfallctl/src/BendfallctlIntentFile.ts
+++ b/packages/bendfallctl/src/BendfallctlIntentFile.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Intent } from 'bendfall-core'
-import type { Finding } from 'bendfall-node'
-import { formatFindings, readDocument } from 'bendfall-node'
+import type { Finding } from 'bendfall-node/settings'
+import { formatFindings, readDocument } from 'bendfall-node/settings'
 import type { Result } from 'ts-results-es'
 import type { CommandResult } from './BendfallctlExit.js'
 import { INTENT_SCHEMA } from './BendfallctlIntentSchema.js'
--- a/packages/bendfallctl/src/BendfallctlMain.ts
+++ b/packages/bendfallctl/src/BendfallctlMain.ts
@@ -1,30 +1,26 @@
 #!/usr/bin/env node
 /**
- * Binary of the operators command line.
+ * Binary of the operators command line. A command loads only what it needs: its start is most of
+ * the time that it takes, above all on a machine that is short of processors.
  *
  * @module
  */
 import { defineCommand, runMain } from 'citty'
-import { crashesClearCommand, crashesCommand } from './BendfallctlCrashesCommands.js'
-import { explainCommand } from './BendfallctlExplainCommand.js'
-import { confirmCommand, planCommand } from './BendfallctlPlanCommands.js'
-import { poolsConfirmCommand, poolsPlanCommand } from './BendfallctlPoolsCommands.js'
-import { checkCommand, drainCommand, statusCommand, timelineCommand } from './BendfallctlProcessCommands.js'
 
 const main = defineCommand({
   meta: { name: 'bendfallctl', description: 'Plans and confirms intents, and shows what bendfall does' },
   subCommands: {
-    check: checkCommand,
-    confirm: confirmCommand,
-    crashes: crashesCommand,
-    'crashes-clear': crashesClearCommand,
-    drain: drainCommand,
-    explain: explainCommand,
-    plan: planCommand,
-    'pools-confirm': poolsConfirmCommand,
-    'pools-plan': poolsPlanCommand,
-    status: statusCommand,
-    timeline: timelineCommand
+    check: async () => (await import('./BendfallctlProcessCommands.js')).checkCommand,
+    confirm: async () => (await import('./BendfallctlPlanCommands.js')).confirmCommand,
+    crashes: async () => (await import('./BendfallctlCrashesCommands.js')).crashesCommand,
+    'crashes-clear': async () => (await import('./BendfallctlCrashesCommands.js')).crashesClearCommand,
+    drain: async () => (await import('./BendfallctlProcessCommands.js')).drainCommand,
+    explain: async () => (await import('./BendfallctlExplainCommand.js')).explainCommand,
+    plan: async () => (await import('./BendfallctlPlanCommands.js')).planCommand,
+    'pools-confirm': async () => (await import('./BendfallctlPoolsCommands.js')).poolsConfirmCommand,
+    'pools-plan': async () => (await import('./BendfallctlPoolsCommands.js')).poolsPlanCommand,
+    status: async () => (await import('./BendfallctlProcessCommands.js')).statusCommand,
+    timeline: async () => (await import('./BendfallctlProcessCommands.js')).timelineCommand
   }
 })
 
--- a/packages/bendfallctl/src/BendfallctlPools.ts
+++ b/packages/bendfallctl/src/BendfallctlPools.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { writeFile } from 'node:fs/promises'
-import { readDocument } from 'bendfall-node'
+import { readDocument } from 'bendfall-node/settings'
 import { balancePools, confirmedIntent, digestPoolIntent, POOL_DOCUMENT_SCHEMA } from 'bendfall-router'
 import type { PoolDocument, PoolMember } from 'bendfall-router'
 import type { CommandResult } from './BendfallctlExit.js'
--- a/packages/bendfallctl/src/BendfallctlTarget.ts
+++ b/packages/bendfallctl/src/BendfallctlTarget.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { Finding } from 'bendfall-node'
-import { readSettings } from 'bendfall-node'
+import type { Finding } from 'bendfall-node/settings'
+import { readSettings } from 'bendfall-node/settings'
 import type { InstanceListPort, KeyValuePort } from 'bendfall-platform'
 import { createHttpInstanceList, createHttpKeyValue } from 'bendfall-platform'
 import type { Result } from 'ts-results-es'
