Let retries of a summary wait, each longer than the one before

Callers saw: a summary refused with outcome unknown, reason prefill_lost or transfer_stalled, 1 to 4 s after it came and seconds before its target.

Cause: four attempts followed each other without a pause and met the same standstill; the fourth ended the request, whatever was left of its caller's time and of the retry budget.

Mend: the first retry goes at once, later ones wait 0.13 to 1 s, within a quarter of the time to the first output. Attempts that end before an engine decoded count to eight instead of four: they tell of processes and links. Requests under which engines fail keep four. All are paid as before.

BendfallCoreEntryStall: its checks as they were; its script lets the pause end at once.

--- a/packages/bendfall-core/src/__tests__/unit/BendfallCoreEntryStall.test.ts
+++ b/packages/bendfall-core/src/__tests__/unit/BendfallCoreEntryStall.test.ts
@@ -57,6 +57,8 @@
 function stall (session: EntrySession, attempt: number, atMs: number): void {
   const { instanceId } = session.last('send_decode')
   session.send({ type: 'decode_ended', atMs, requestId: 'r1', attempt, instanceId, end: { type: 'failed', reason: 'transfer_stalled', kvLost: false } })
+  // The later attempts wait first; what is believed of a result does not depend on for how long.
+  session.send({ type: 'timer_fired', atMs, timer: { kind: 'retry', id: 'r1' } })
 }
 
 function grantAttempt (session: EntrySession, attempt: number, atMs: number): void {
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryEnd.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryEnd.ts
@@ -71,6 +71,7 @@
   const effects = [
     ...(outcome === 'answered' ? [] : cancelEffects(language)),
     clearTimer('first_output_deadline', requestId),
+    ...(language.phase === 'pausing' ? [clearTimer('retry', requestId)] : []),
     ...settleEffects(language, outcome),
     ...measureEffects(state, language, outcome, refusal, atMs),
     endEffect(language, outcome, refusal)
@@ -78,7 +79,7 @@
   return { state: next, effects }
 }
 
-function clearTimer (kind: 'first_output_deadline', id: string): Effect {
+function clearTimer (kind: 'first_output_deadline' | 'retry', id: string): Effect {
   return { type: 'clear_timer', timer: { kind, id } }
 }
 
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryHandlers.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryHandlers.ts
@@ -16,12 +16,14 @@
 import { answerPrefill, clearPending } from './BendfallCoreEntryPrefill.js'
 import { answerReserve } from './BendfallCoreEntryReserve.js'
 import { pinResult } from './BendfallCoreEntryResult.js'
+import { endRetryPause } from './BendfallCoreEntryRetry.js'
 
 type TimerHandler = (state: State, id: string, atMs: number) => Step
 
 const timerHandlers: Readonly<Partial<Record<TimerKind, TimerHandler>>> = {
   first_output_deadline: missDeadline,
-  lease_renewal: (state, _id, atMs) => renewLeases(state, atMs)
+  lease_renewal: (state, _id, atMs) => renewLeases(state, atMs),
+  retry: endRetryPause
 }
 
 const fireTimer: EventHandler<'timer_fired'> = (state, event) => {
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryPolicy.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryPolicy.ts
@@ -52,9 +52,24 @@
 /** Most retries a pool can save up. */
 export const RETRY_BUDGET_MAX = 20
 
-/** Attempts of one request, the first included. */
+/** Attempts of one request, the first included: bounds how many replicas a request that ends them can end. */
 export const MAX_ATTEMPTS = 4
 
+/** Attempts of one request whose last one was lost before any engine decoded for it; time and budget bound them as well. */
+export const MAX_UNDECODED_ATTEMPTS = 8
+
+/** Pause before the second retry of a request; bridges a replica that stands still for a moment. */
+export const FIRST_RETRY_PAUSE_MS = 250
+
+/** By how much each pause is longer than the one before. */
+export const RETRY_PAUSE_GROWTH = 4
+
+/** Longest pause; a replica that stands still for longer has been replaced by then, or is suspected. */
+export const LONGEST_RETRY_PAUSE_MS = 1_000
+
+/** Part of the time to the first output that a pause may take, so that the attempt after it can be in time. */
+export const LONGEST_RETRY_PAUSE_SHARE = 0.25
+
 /** Refused candidates after which a request is given up. */
 export const MAX_RESERVE_ASKS = 3
 
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
@@ -6,14 +6,22 @@
  */
 import type { Effect } from '../BendfallCoreEffects.js'
 import type { Step } from '../BendfallCoreReducer.js'
+import { stay } from '../BendfallCoreReducer.js'
 import type { State } from '../BendfallCoreState.js'
-import type { ModelName, RefusalReason } from '../BendfallCoreTypes.js'
+import type { ModelName, RefusalReason, RequestId } from '../BendfallCoreTypes.js'
+import { drawUnit } from '../BendfallCoreRandom.js'
 import { cancelEffects, refuseLanguage } from './BendfallCoreEntryEnd.js'
-import { DEFAULT_RETRY_AFTER_MS, MAX_ATTEMPTS, RESUME_WAIT_MS, RETRY_BUDGET_MAX, RETRY_EARNED_PER_REQUEST } from './BendfallCoreEntryPolicy.js'
+import { DEFAULT_RETRY_AFTER_MS, FIRST_RETRY_PAUSE_MS, LONGEST_RETRY_PAUSE_MS, LONGEST_RETRY_PAUSE_SHARE, MAX_ATTEMPTS, MAX_UNDECODED_ATTEMPTS, RESUME_WAIT_MS, RETRY_BUDGET_MAX, RETRY_EARNED_PER_REQUEST, RETRY_PAUSE_GROWTH } from './BendfallCoreEntryPolicy.js'
 import { askDecode } from './BendfallCoreEntryReserve.js'
 import { relyOnPromise } from './BendfallCoreEntryResult.js'
 import type { LanguageState } from './BendfallCoreEntryState.js'
-import { andThen, entryOf, putLanguage, recordOf, step, updateEntry } from './BendfallCoreEntryUpdate.js'
+import { andThen, entryOf, findLanguage, putLanguage, recordOf, step, updateEntry } from './BendfallCoreEntryUpdate.js'
+
+/** Failures on the way from prefill to decode: they tell of slow processes and links, not of the request. */
+const UNDECODED_REASONS: ReadonlySet<RefusalReason> = new Set(['lease_lapsed', 'prefill_lost', 'transfer_stalled'])
+
+/** The second attempt follows at once. */
+const FIRST_PAUSED_ATTEMPT = 3
 
 /**
  * Earns a part of a retry for a model.
@@ -44,7 +52,9 @@
 
 /**
  * Gives up the live attempt and starts another, behind the tokens already
- * sent, or ends the request at once.
+ * sent, or ends the request at once. The first retry is sent at once, since
+ * another replica may serve; the next ones wait, each longer than the one
+ * before: replicas that all stand still for a moment would take every attempt.
  *
  * @param state - state of an entry
  * @param language - the request
@@ -56,7 +66,7 @@
   const { request } = language
   const failed = recordFailed(state, language, reason, atMs)
   const detail = `attempt ${language.attempt} failed`
-  const paid = language.attempt >= MAX_ATTEMPTS ? undefined : spendRetry(state, request.model)
+  const paid = language.attempt >= mostAttempts(reason) ? undefined : spendRetry(state, request.model)
   if (paid === undefined) {
     const refused = refuseLanguage(state, language, { reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS, detail }, atMs)
     return { state: refused.state, effects: [failed, ...refused.effects] }
@@ -69,7 +79,40 @@
     { type: 'count', metric: 'retries', value: 1, tags: { reason } },
     { type: 'set_timer', timer: { kind: 'first_output_deadline', id: request.requestId }, atMs: next.outputDueAtMs }
   )
-  return andThen(begun, (after) => askDecode(after, next, atMs))
+  if (language.attempt === 1) return andThen(begun, (after) => askDecode(after, next, atMs))
+  return andThen(begun, (after) => pauseRetry(after, next, atMs))
+}
+
+function mostAttempts (reason: RefusalReason): number {
+  return UNDECODED_REASONS.has(reason) ? MAX_UNDECODED_ATTEMPTS : MAX_ATTEMPTS
+}
+
+// Half of the pause is drawn, so that requests that failed together do not come back together.
+function pauseRetry (state: State, language: LanguageState, atMs: number): Step {
+  const { requestId } = language.request
+  const draw = drawUnit(state.seed)
+  const inTimeMs = Math.max(0, language.outputDueAtMs - atMs) * LONGEST_RETRY_PAUSE_SHARE
+  const grownMs = FIRST_RETRY_PAUSE_MS * RETRY_PAUSE_GROWTH ** (language.attempt - FIRST_PAUSED_ATTEMPT)
+  const pauseMs = Math.min(grownMs, inTimeMs, LONGEST_RETRY_PAUSE_MS) * (1 + draw.value) / 2
+  return step(
+    putLanguage({ ...state, seed: draw.seed }, { ...language, phase: 'pausing' }),
+    { type: 'set_timer', timer: { kind: 'retry', id: requestId }, atMs: atMs + pauseMs },
+    recordOf(requestId, 'retry_paused', { attempt: language.attempt, pauseMs: Math.round(pauseMs) })
+  )
+}
+
+/**
+ * Starts the attempt that waited for its pause to end.
+ *
+ * @param state - state of an entry
+ * @param requestId - the request
+ * @param atMs - monotonic time
+ * @returns the step; nothing for a request that does not wait
+ */
+export function endRetryPause (state: State, requestId: RequestId, atMs: number): Step {
+  const language = findLanguage(state, requestId)
+  if (language?.phase !== 'pausing') return stay(state)
+  return askDecode(state, language, atMs)
 }
 
 function recordFailed (state: State, language: LanguageState, reason: RefusalReason, atMs: number): Effect {
@@ -101,5 +144,5 @@
     failedIds,
     outputDueAtMs: hasOutput ? atMs + RESUME_WAIT_MS : language.outputDueAtMs
   }
-  return next.attempt === MAX_ATTEMPTS ? relyOnPromise(next) : next
+  return next.attempt === MAX_ATTEMPTS || next.attempt === MAX_UNDECODED_ATTEMPTS ? relyOnPromise(next) : next
 }
--- a/packages/bendfall-core/src/entry/BendfallCoreEntryState.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryState.ts
@@ -15,7 +15,7 @@
 import type { CallsState } from './calls/BendfallCoreCallState.js'
 
 /** What a language request waits for. */
-export type LanguagePhase = 'claiming' | 'reserving' | 'prefilling' | 'decoding'
+export type LanguagePhase = 'claiming' | 'reserving' | 'prefilling' | 'decoding' | 'pausing'
 
 /** The reservation of the live attempt. */
 export interface Reservation {
