--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeEra.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeEra.test.ts
@@ -66,6 +66,57 @@
   process.lease.close()
 })
 
+// After the loss of all entries nobody kept the allotments for the five seconds in which each that
+// started waited for a holder of a former era, and every request of a customer was refused meanwhile.
+test('a process that starts takes a free duty at once in an era that has lasted', async () => {
+  const clock = createVirtualClock()
+  const store = createEraStore(clock)
+  const [first] = start(clock, store, 1) as [Process]
+  await clock.advance(12_000)
+  first.lease.close()
+  await clock.advance(100)
+  const [second] = start(clock, store, 1) as [Process]
+  await clock.advance(100)
+  assert.ok(second.lease.fence() !== undefined)
+  second.lease.close()
+})
+
+test('a process that starts waits in an era of which nobody wrote that it has lasted', async () => {
+  const clock = createVirtualClock()
+  const store = createEraStore(clock)
+  const [first] = start(clock, store, 1) as [Process]
+  await clock.advance(12_000)
+  first.lease.close()
+  store.restore()
+  const [second] = start(clock, store, 1) as [Process]
+  await clock.advance(2_900)
+  assert.is(second.lease.fence(), undefined)
+  await clock.advance(6_000)
+  assert.ok(second.lease.fence() !== undefined)
+  second.lease.close()
+})
+
+// A former holder that hears nothing beside processes that start: eras, silence and starts at each step.
+for (let seed = 101; seed <= 160; seed++) {
+  test(`no two processes hold the duty while others start (seed ${seed})`, async () => {
+    const random = createRandom(seed)
+    const clock = createVirtualClock()
+    const store = createEraStore(clock)
+    const processes = start(clock, store, 2)
+    for (let atMs = 0; atMs < 40_000; atMs += STEP_MS) {
+      if (random.next() < 0.005) store.restore()
+      if (random.next() < 0.02) for (const { way } of processes) way.latencyMs = 4
+      if (random.next() < 0.02) (processes[Math.floor(random.next() * processes.length)] as Process).way.latencyMs = random.next() < 0.5 ? Infinity : 4 + random.next() * 1_500
+      if (random.next() < 0.02) processes.push(...start(clock, store, 1))
+      if (random.next() < 0.02 && processes.length > 1) processes.splice(Math.floor(random.next() * processes.length), 1)[0]?.lease.close()
+      await clock.advance(STEP_MS)
+      const fences = processes.flatMap(({ lease }) => lease.fence() ?? [])
+      assert.ok(fences.length <= 1, `two holders at ${atMs} ms`)
+    }
+    for (const { lease } of processes) lease.close()
+  })
+}
+
 // Orders of eras, slow and lost answers over 40 s, at each step: who may act, and with which token.
 for (let seed = 1; seed <= 60; seed++) {
   test(`no two processes hold the duty at one moment, and tokens only rise (seed ${seed})`, async () => {
--- a/packages/bendfall-edge/src/__tests__/unit/EraStore.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/EraStore.ts
@@ -1,11 +1,11 @@
-import type { EraChange, KeyValueEntry, KeyValuePort, LeaseOutcome } from 'bendfall-platform'
+import type { CompareAndSwap, EraChange, KeyValueEntry, KeyValuePort, LeaseOutcome } from 'bendfall-platform'
 import type { VirtualClock } from './VirtualClock.js'
 
 const ERA_UNIT = 1_000_000
 
 /** A service that may come back from an older copy, in virtual time. */
 export interface EraStore {
-  /** Goes back: the key and all leases are gone, revisions are given out again. */
+  /** Goes back: all leases and what is bound to them are gone, the copy has the rest; revisions are given out again. */
   readonly restore: () => void
   /** @returns a process's way to it */
   readonly join: () => EraStorePort
@@ -21,14 +21,14 @@
 /** Makes the service. */
 export function createEraStore (clock: VirtualClock): EraStore {
   const leases = new Map<string, number>()
-  let entry: KeyValueEntry | undefined
+  const entries = new Map<string, KeyValueEntry>()
   let era = 1
   let number = 7
   let nextLease = 1
 
   function expire (): void {
     for (const [id, untilMs] of leases) if (clock.nowMs() >= untilMs) leases.delete(id)
-    if (entry !== undefined && !leases.has(entry.leaseId)) entry = undefined
+    for (const [key, { leaseId }] of entries) if (leaseId !== '' && !leases.has(leaseId)) entries.delete(key)
   }
 
   function join (): EraStorePort {
@@ -73,7 +73,10 @@
     }
 
     way.port = {
-      get: async () => await call(() => entry === undefined ? { type: 'missing', storeRevision: era * ERA_UNIT + number } : { type: 'found', entry }),
+      get: async (key: string) => await call(() => {
+        const entry = entries.get(key)
+        return entry === undefined ? { type: 'missing', storeRevision: era * ERA_UNIT + number } : { type: 'found', entry }
+      }),
       grantLease: async () => await call(() => {
         const leaseId = `${era}:${nextLease++}`
         leases.set(leaseId, clock.nowMs() + 3_000)
@@ -87,14 +90,17 @@
           expire()
           return { type: 'granted', leaseId, ttlMs: 0 }
         }),
-      compareAndSwap: async ({ key, leaseId, value }: { key: string, leaseId: string, value: string | null }) => isOld(leaseId)
+      compareAndSwap: async ({ expectedRevision, key, leaseId, value }: CompareAndSwap) => leaseId !== '' && isOld(leaseId)
         ? { type: 'conflict', currentRevision: 0 }
         : await call(() => {
-          if (entry !== undefined || !leases.has(leaseId)) return { type: 'conflict', currentRevision: entry?.revision ?? 0 }
+          const currentRevision = entries.get(key)?.revision ?? 0
+          if (currentRevision !== expectedRevision || (leaseId !== '' && !leases.has(leaseId))) return { type: 'conflict', currentRevision }
           number += 1
-          entry = { key, value: value ?? '', revision: era * ERA_UNIT + number, leaseId }
-          return { type: 'applied', revision: entry.revision }
+          const revision = era * ERA_UNIT + number
+          entries.set(key, { key, value: value ?? '', revision, leaseId })
+          return { type: 'applied', revision }
         }),
+      era: () => seen ?? 0,
       onEra: (listener: (change: EraChange) => void) => {
         listeners.add(listener)
         return () => { listeners.delete(listener) }
@@ -109,7 +115,7 @@
       number = 7
       nextLease = 1
       leases.clear()
-      entry = undefined
+      expire()
     },
     join
   }
--- a/packages/bendfall-node/src/config/BendfallNodeKeyValueCount.ts
+++ b/packages/bendfall-node/src/config/BendfallNodeKeyValueCount.ts
@@ -11,7 +11,7 @@
 const MS_PER_SECOND = 1_000
 
 /** Calls of the port that reach the service. */
-export type KeyValueCallName = Exclude<keyof KeyValuePort, 'close' | 'onEra'>
+export type KeyValueCallName = Exclude<keyof KeyValuePort, 'close' | 'era' | 'onEra'>
 
 /** A port that counts. */
 export interface CountedKeyValue extends KeyValuePort {
@@ -54,6 +54,7 @@
     renewLease: counted('renewLease', keyValue.renewLease),
     revokeLease: counted('revokeLease', keyValue.revokeLease),
     watch: counted('watch', keyValue.watch),
+    era: keyValue.era,
     onEra: keyValue.onEra,
     close: keyValue.close,
     calls: () => ({ ...counts }),
--- a/packages/bendfall-platform/src/BendfallPlatformKeyValue.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformKeyValue.ts
@@ -95,6 +95,8 @@
    * @returns teardown
    */
   readonly onEra?: (listener: (change: EraChange) => void) => () => void
+  /** @returns the highest era that an answer told; 0 while none did. Absent where the service has none. */
+  readonly era?: () => number
   /** Ends pending calls and frees connections. */
   readonly close: () => Promise<void>
 }
