Keep the two parts of the allotments at two entries

Callers would see: with the entry that kept both parts its customers lose the keeper and the reserve.

Cause: an entry that saw both keys free looked at both at once, before it held either; the four seconds that it leaves the second alone passed while it waited for the first. And the watch tells of an own key before the write is answered, when the duty does not count as held yet (seen in the log: allotment_keeper 2 ms before duty_taken, then the reserve 3 ms later).

Mend: the reserve is left alone while nobody is known to keep the first part, or the key names this entry; for longer than the wait for a former holder. The others look as soon as they learn of a keeper.

--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentDuty.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentDuty.ts
@@ -21,8 +21,12 @@
  */
 const TIMING: LeaseTiming = { leaseMs: 5_000, renewMs: 1_000, marginMs: 500, firstLookMs: 1_000, longestLookMs: 2_000 }
 
-/** An entry that keeps one role takes the other only after it was free for so long: lost with one instance, both would be missing. */
-const OTHER_ROLE_AFTER_MS = 4_000
+/**
+ * An entry that keeps one role, or could still get the first, takes the other only after it was free for so
+ * long: lost with one instance, both would be missing. Longer than the wait for a holder of a former era,
+ * after which all entries may take both.
+ */
+const OTHER_ROLE_AFTER_MS = TIMING.leaseMs + 2_000
 
 /** Entries that see a key free look one after the other, within this. */
 const SPREAD_MS = 600
@@ -97,8 +101,13 @@
       return 'held'
     }
     duty.freeSinceMs ??= clock.nowMs()
-    const holdsOther = ALLOTMENT_ROLES.some((other) => other !== role && duties.get(other)?.election.fence() !== undefined)
-    return holdsOther && clock.nowMs() - duty.freeSinceMs < OTHER_ROLE_AFTER_MS ? 'left_alone' : 'free'
+    return mayGetOther(role) && clock.nowMs() - duty.freeSinceMs < OTHER_ROLE_AFTER_MS ? 'left_alone' : 'free'
+  }
+
+  function mayGetOther (role: AllotmentRole): boolean {
+    if (role === 'reserve' && placeOf('primary') === undefined) return true
+    // The key-value service may tell of an own key before it has answered the write.
+    return ALLOTMENT_ROLES.some((other) => other !== role && (duties.get(other)?.election.fence() !== undefined || placeOf(other)?.instanceId === own.instanceId))
   }
 
   // What another process granted under the duty before is not known, so that each time begins empty.
--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
@@ -83,8 +83,8 @@
     if (place === undefined) keepers.delete(role)
     else keepers.set(role, { place, session: createPeerSession(place.address), avoidedUntilMs: -Infinity })
     logger.info('allotment_keeper', { role, keeper: place?.instanceId })
-    if (place === undefined) duties.look()
-    else if (place.instanceId === own.instanceId) duties.reclaim()
+    if (place?.instanceId === own.instanceId) duties.reclaim()
+    else if (keepers.size < ALLOTMENT_ROLES.length) duties.look()
   }
 
   function learn (present: readonly KeyValueEntry[], goneKeys: readonly string[]): void {
--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAllotments.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAllotments.test.ts
@@ -93,6 +93,17 @@
   })
 })
 
+// One entry that saw both keys free took both: its death left a customer without any keeper.
+test('two entries keep the two parts of the allotments', async () => {
+  await inCustomerScene(4, [FLOOD, CALM], async (scene) => {
+    await untilKept(scene)
+    for (let i = 0; i < 100 && keeperIndex(scene, 'reserve') === -1; i++) await sleep(50)
+    const [primary, reserve] = ['primary', 'reserve'].map((role) => keeperIndex(scene, role))
+    assert.ok(primary !== -1 && reserve !== -1, 'both are kept')
+    assert.is.not(primary, reserve)
+  })
+})
+
 test('all that is due runs at one entry', async () => {
   await inCustomerScene(3, [FLOOD, CALM], async (scene) => {
     await untilKept(scene)
