--- a/packages/bendfall-core/src/sidecar/BendfallCoreSidecarDecode.ts
+++ b/packages/bendfall-core/src/sidecar/BendfallCoreSidecarDecode.ts
@@ -22,8 +22,7 @@
 
 /**
  * Between two looks at a transfer, and the most that one look counts: what a look is late, the
- * process stood still and could read no byte. Beside 24 busy processes on 16 cores one timer of
- * 300 ms came up to 174 ms late.
+ * process stood still and could read no byte.
  */
 export const PROGRESS_LOOK_MS = 50
 
--- a/packages/bendfall-edge/src/pools/BendfallEdgeHolderLease.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgeHolderLease.ts
@@ -4,16 +4,14 @@
  *
  * When the service comes back from an older copy the key and the lease may be gone at
  * once. A holder that hears of it stops; one that doesn't acts until its lease would lapse.
- * So no process takes the key within the length of a lease after it saw the era begin. One
- * that starts can't tell when that was: the holder writes down that the era has lasted so
- * long, and where that is written, or the service has no eras, a process that starts takes
- * a free key at once.
+ * So no process takes the key while a holder of a former era may act.
  *
  * @module
  */
 import type { Clock, Logger, Teardown } from 'bendfall-node'
 import { createSignal } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
+import { watchFormerHolders } from './BendfallEdgeFormerHolders.js'
 
 /** What an election needs. */
 export interface HolderLeaseOptions {
@@ -100,11 +98,7 @@
   let held: Held | undefined
   let lookMs = firstLookMs
   let eras = 0
-  let eraSeenAtMs = -Infinity
-  const settledKey = `${key}/settled`
-  // Before this a process that starts can't tell by itself whether the era has lasted long enough.
-  const startedAtMs = clock.nowMs()
-  let settledEra: number | undefined
+  const formerHolders = watchFormerHolders({ port, clock, key, leaseMs })
 
   const readClocks = (): Validity => ({ untilMs: clock.nowMs(), untilWallMs: clock.wallMs() })
 
@@ -122,37 +116,9 @@
 
   const stopListening = port.onEra?.(({ era, formerEra }) => {
     eras += 1
-    eraSeenAtMs = clock.nowMs()
     lose(`era ${era} began after ${formerEra}`)
   })
 
-  // Whether a holder of a former era may still act, since it has not heard of this one. The
-  // former process of this instance has ended, whatever the era.
-  async function mayFormerHolderAct (isOwnKey: boolean): Promise<boolean> {
-    if (clock.nowMs() - eraSeenAtMs < leaseMs) return true
-    return !isOwnKey && clock.nowMs() - startedAtMs < leaseMs && !await isEraSettled()
-  }
-
-  // The era stands in the value: a copy of the key tells of the era that it was written in.
-  async function isEraSettled (): Promise<boolean> {
-    const era = port.era?.() ?? 0
-    if (era === 0) return true
-    const read = await port.get(settledKey)
-    return read.type === 'found' && read.entry.value === String(era) && port.era?.() === era
-  }
-
-  async function settleEra (): Promise<void> {
-    const era = port.era?.() ?? 0
-    const sinceMs = Math.max(eraSeenAtMs, startedAtMs)
-    if (era === 0 || settledEra === era || clock.nowMs() - sinceMs < leaseMs) return
-    const read = await port.get(settledKey)
-    if (read.type === 'unavailable') return
-    const expectedRevision = read.type === 'found' ? read.entry.revision : NO_REVISION
-    const isWritten = read.type === 'found' && read.entry.value === String(era)
-    const written = isWritten ? undefined : await port.compareAndSwap({ key: settledKey, expectedRevision, value: String(era), leaseId: '' })
-    if (isWritten || written?.type === 'applied') settledEra = era
-  }
-
   // Revision at which the key may be taken; undefined when it may not.
   async function readFree (): Promise<number | undefined> {
     const news = newsOf?.()
@@ -167,7 +133,7 @@
   async function take (): Promise<void> {
     const erasBefore = eras
     const expectedRevision = await readFree()
-    if (expectedRevision === undefined || await mayFormerHolderAct(expectedRevision !== NO_REVISION)) return
+    if (expectedRevision === undefined || await formerHolders.mayAct(expectedRevision !== NO_REVISION)) return
     const asked = readClocks()
     const lease = await port.grantLease(leaseMs)
     if (lease.type !== 'granted') return
@@ -193,7 +159,7 @@
     if (outcome.type === 'granted') own.valid = validFrom(asked)
     else if (outcome.type === 'lapsed') lose('lease lapsed')
     else if (!isValid(own)) lose(outcome.detail)
-    if (outcome.type === 'granted') await settleEra()
+    if (outcome.type === 'granted') await formerHolders.settle()
   }
 
   async function run (): Promise<void> {
@@ -223,6 +189,7 @@
     close: () => {
       ended.abort()
       stopListening?.()
+      formerHolders.close()
       const own = held
       held = undefined
       free(own)
--- a/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
+++ b/packages/bendfall-fakes/src/BendfallFakesDemoProcess.ts
@@ -10,7 +10,7 @@
 
 const PARENT_WATCH_MODULE = import.meta.resolve('./BendfallFakesParentWatch.js')
 const STALL_WATCH_MODULE = import.meta.resolve('./BendfallFakesStallWatch.js')
-/** Until a process listens: 1 s on an idle machine, 26 s were not enough for a dozen beside a load of 21 on 8 cores. */
+/** Until a process listens; a dozen start at once, also on a busy machine. */
 const START_TIMEOUT_MS = 40_000
 const STOP_TIMEOUT_MS = 10_000
 
