--- a/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
+++ b/packages/bendfall-core/src/entry/BendfallCoreEntryRetry.ts
@@ -5,11 +5,11 @@
  * @module
  */
 import type { Effect } from '../BendfallCoreEffects.js'
+import { drawUnit } from '../BendfallCoreRandom.js'
 import type { Step } from '../BendfallCoreReducer.js'
 import { stay } from '../BendfallCoreReducer.js'
 import type { State } from '../BendfallCoreState.js'
 import type { ModelName, RefusalReason, RequestId } from '../BendfallCoreTypes.js'
-import { drawUnit } from '../BendfallCoreRandom.js'
 import { cancelEffects, refuseLanguage } from './BendfallCoreEntryEnd.js'
 import { DEFAULT_RETRY_AFTER_MS, FIRST_RETRY_PAUSE_MS, LONGEST_RETRY_PAUSE_MS, LONGEST_RETRY_PAUSE_SHARE, MAX_ATTEMPTS, MAX_UNDECODED_ATTEMPTS, RESUME_WAIT_MS, RETRY_BUDGET_MAX, RETRY_EARNED_PER_REQUEST, RETRY_PAUSE_GROWTH } from './BendfallCoreEntryPolicy.js'
 import { askDecode } from './BendfallCoreEntryReserve.js'
