Log headers of replicas that nobody decodes

What operators saw: a replica named a limit in each of its answers, and no line of any entry told so, so that a limit which is not decoded could not be told from one that is kept loosely. Each such header of the replicas' own family is logged now, once for a replica and name.

--- a/packages/bendfall-edge/src/replica/BendfallEdgeNotices.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeNotices.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { UpdateLoop } from 'bendfall-node'
-import type { RouterEffect, RouterEvent } from 'bendfall-router'
+import type { ReplicaNotice, RouterEffect, RouterEvent } from 'bendfall-router'
 import type { AnswerHead, ReplicaDialect } from '../BendfallEdgeDialect.js'
 
 /** Who is told. */
@@ -23,10 +23,14 @@
  * @param head - of its answer
  */
 export function tellNotice ({ loop }: Pick<NoticeOptions, 'loop'>, replicaId: string, { isWrongReplica, notice }: AnswerHead): void {
-  if (isWrongReplica || (!notice.isLeaving && notice.backoffMs === undefined)) return
+  if (isWrongReplica || !saysAnything(notice)) return
   loop.dispatch({ type: 'replica_spoke', replicaId, notice })
 }
 
+function saysAnything ({ backoffMs, isLeaving, undecoded }: ReplicaNotice): boolean {
+  return isLeaving || backoffMs !== undefined || undecoded !== undefined
+}
+
 /**
  * The same for the answer to a call of the router's own.
  *
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterNotice.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterNotice.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { reduceRouter } from '../../index.js'
 import type { ReplicaNotice, RouterEffect } from '../../index.js'
 import { arrival, createWorld, loadOf, modelWorld, only, plainRoute, replicaOf, summaryRoute, typesOf } from './RouterWorld.js'
 import type { RouterWorld } from './RouterWorld.js'
@@ -161,4 +162,11 @@
   assert.is(only(world.send(arrival('k1')), 'reserve').replicaId, 'd2')
 })
 
+test('a header that nobody decodes is logged once for each replica', () => {
+  const world = plainWorld()
+  const notice: ReplicaNotice = { isLeaving: false, undecoded: ['server-mood'] }
+  const logged = ['a1', 'a1', 'a2'].map((replicaId) => reduceRouter(world.state, { type: 'replica_spoke', atMs: world.nowMs(), replicaId, notice }))
+  assert.equal(logged.map((effects) => effects.filter((effect) => effect.type === 'log' && effect.decision === 'answer_header_undecoded').length), [1, 0, 1])
+})
+
 test.run()
--- a/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
@@ -6,7 +6,9 @@
  * @module
  */
 import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
+import type { Replica } from '../BendfallRouterTypes.js'
 import { backoffLeftMs, takeNotice } from '../notices/BendfallRouterNotices.js'
+import type { ReplicaNotice } from '../notices/BendfallRouterNotices.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
@@ -14,6 +16,9 @@
 import type { ReplicaBelief } from './BendfallRouterState.js'
 import { chooseSubset } from './BendfallRouterSubset.js'
 
+/** Names of headers and replicas that are logged, once each. */
+const MOST_UNDECODED = 1_000
+
 /**
  * Takes what a replica said of itself, in the head of an answer or to the ledger beside it.
  *
@@ -24,6 +29,7 @@
   const { effects, nowMs, state } = context
   const replica = state.replicas.get(replicaId)?.replica
   if (replica === undefined) return
+  logUndecoded(context, replica, notice)
   const change = takeNotice(state.notices, nameProcess(replica), notice, nowMs)
   if (change === 'nothing') return
   effects.push({ type: 'log', decision: change === 'leaves' ? 'replica_says_leaving' : 'replica_backs_off', requestId: '', inputs: { replica: replicaId, backoffMs: notice.backoffMs } })
@@ -32,6 +38,16 @@
   chooseSubset(state)
 }
 
+// A word of a replica that nobody decodes shows operators what the router does not heed.
+function logUndecoded ({ effects, state: { undecoded } }: RouterContext, { replicaId }: Replica, notice: ReplicaNotice): void {
+  for (const header of notice.undecoded ?? []) {
+    const name = `${header} ${replicaId}`
+    if (undecoded.has(name) || undecoded.size >= MOST_UNDECODED) continue
+    undecoded.add(name)
+    effects.push({ type: 'log', decision: 'answer_header_undecoded', requestId: '', inputs: { replica: replicaId, header } })
+  }
+}
+
 /**
  * Tells whether a replica wants no call at all for a time.
  *
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -126,6 +126,8 @@
   readonly budgets: Map<string, RetryBudget>
   /** What replicas said of themselves. */
   readonly notices: ReplicaNotices
+  /** Headers in which replicas said what is not decoded, with the replica. */
+  readonly undecoded: Set<string>
   /** Replicas that crashed, and the requests they ran. */
   readonly crashes: CrashRecords
   /** By service. */
@@ -189,6 +191,7 @@
     budgetLimits,
     budgets: new Map(),
     notices: new Map(),
+    undecoded: new Set(),
     crashes: createCrashRecords(crashLimits),
     runOutcomes: new Map(),
     prefillMsPerToken: FIRST_PREFILL_MS_PER_TOKEN,
--- a/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
+++ b/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
@@ -12,6 +12,8 @@
   readonly isLeaving: boolean
   /** Time for which it wants no request; absent: it did not say. */
   readonly backoffMs?: number
+  /** Names of headers in which it said more that nobody decodes; absent: none. */
+  readonly undecoded?: readonly string[]
 }
 
 /** What one process has said. */
