--- a/packages/bendfall-fakes/src/__tests__/unit/CustomerScene.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/CustomerScene.ts
@@ -54,6 +54,8 @@
   readonly entries: readonly CustomerEntry[]
   /** Writes a version of the configuration. */
   readonly configure: (version: number, tenants: readonly Tenant[]) => void
+  /** Stops an entry in order and starts another one in its place. */
+  readonly startAgain: (index: number) => Promise<void>
   readonly close: () => Promise<void>
 }
 
@@ -71,6 +73,10 @@
   readonly retryAfterS?: number
   readonly body: string
   readonly id: string
+  /** Monotonic time at which its head came. */
+  readonly answeredAtMs: number
+  /** Replica that vouches for it. */
+  readonly replicaId?: string
 }
 
 const ROUTE = { host: HOST, 'timeout-ms': 1_500, 'target-latency-ms': 400, priority: 2 }
@@ -81,8 +87,8 @@
 ]
 
 /** Plays in a scene that is closed whatever happens. */
-export async function inCustomerScene (entryCount: number, tenants: readonly Tenant[], play: (scene: CustomerScene) => Promise<void>): Promise<void> {
-  const scene = await startCustomerScene(entryCount, tenants)
+export async function inCustomerScene (entryCount: number, tenants: readonly Tenant[], play: (scene: CustomerScene) => Promise<void>, furtherPlain = 0): Promise<void> {
+  const scene = await startCustomerScene(entryCount, tenants, furtherPlain)
   try {
     await play(scene)
   } finally {
@@ -90,9 +96,10 @@
   }
 }
 
-async function startCustomerScene (entryCount: number, tenants: readonly Tenant[]): Promise<CustomerScene> {
+async function startCustomerScene (entryCount: number, tenants: readonly Tenant[], furtherPlain: number): Promise<CustomerScene> {
   const store = await startFleetStore(ip(1))
   const plain = await Promise.all([100, 101].map((last) => startFleetReplica({ host: ip(last), replicaId: `i-${last}` })))
+  const further = await Promise.all(Array.from({ length: furtherPlain }, (_, index) => startFleetReplica({ host: ip(105 + index), replicaId: `i-${105 + index}` })))
   const prefill = await startFleetReplica({ host: ip(102), replicaId: 'i-102', stage: 'prefill' })
   const decoders = await Promise.all([103, 104].map((last) => startFleetReplica({ host: ip(last), replicaId: `i-${last}`, stage: 'decode' })))
   const configure = (version: number, now: readonly Tenant[]): void => {
@@ -105,7 +112,7 @@
     })
   }
   configure(1, tenants)
-  const replicas = [...plain, prefill, ...decoders]
+  const replicas = [...plain, prefill, ...decoders, ...further]
   for (const [index, replica] of replicas.entries()) {
     const stage = replica.stage()
     store.put(`servers/i-${100 + index}`, registrationOf(replica, stage === undefined ? {} : { service: 'llm', stage }))
@@ -121,12 +128,16 @@
   return {
     store,
     replicas,
-    plain,
+    plain: [...plain, ...further],
     decoders,
     entries,
     configure,
+    startAgain: async (index) => {
+      await entries[index]?.stop()
+      entries[index] = await startCustomerEntry(store, index)
+    },
     close: async () => {
-      for (const { stop } of [...entries, ...sidecars]) await stop()
+      await Promise.all([...entries, ...sidecars].map(({ stop }) => stop()))
       for (const one of [...replicas, store]) await one.close()
     }
   }
@@ -191,11 +202,13 @@
   return new Promise((resolve) => {
     const request = httpRequest({ host, port, path, agent: false, headers: raw.flat() as unknown as Record<string, string> }, (response) => {
       let body = ''
+      const answeredAtMs = performance.now()
+      const replicaId = response.headers['x-response-stamp'] as string | undefined
       response.on('data', (chunk) => { body += chunk })
       const retryAfter = response.headers['retry-after']
-      response.once('close', () => resolve({ status: response.statusCode ?? 0, body, id, ...(retryAfter === undefined ? {} : { retryAfterS: Number(retryAfter) }) }))
+      response.once('close', () => resolve({ status: response.statusCode ?? 0, body, id, answeredAtMs, replicaId, ...(retryAfter === undefined ? {} : { retryAfterS: Number(retryAfter) }) }))
     })
-    request.once('error', () => resolve({ status: 0, body: '', id }))
+    request.once('error', () => resolve({ status: 0, body: '', id, answeredAtMs: Infinity }))
     request.end()
   })
 }
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -56,8 +56,25 @@
   readonly stage: 'prefill' | 'decode'
 }
 
+/** A limit on the requests of all entries together, while the replica names it. */
+export interface NamedLimit {
+  readonly perS: number
+  /** Monotonic time. */
+  readonly fromMs: number
+  /** Absent while it is named. */
+  untilMs?: number
+}
+
 /** The stand-in. */
 export interface FleetReplica extends FleetServer {
+  /** Limits in the order in which it named them. */
+  readonly limits: readonly NamedLimit[]
+  /** Monotonic times of the calls that routers make for themselves, without reports. */
+  readonly ownCallsAtMs: readonly number[]
+  /** From now on each answer names this limit; undefined lifts it. */
+  readonly nameLimit: (perS: number | undefined) => void
+  /** From now on each answer has this text where a limit is named; undefined ends it. */
+  readonly sayLimit: (text: string | undefined) => void
   /** Orders, also those that it refused for a fence lower than one it saw. */
   readonly orders: readonly SeenOrder[]
   readonly seen: readonly SeenRequest[]
@@ -114,12 +131,22 @@
   let hasCrashed = false
   let isLeaving = false
   let backoffS = 0
+  let limitText: string | undefined
+  const limits: NamedLimit[] = []
+  const ownCallsAtMs: number[] = []
   let { stage } = options
   let nextHandle = 1
   let startedAtMs = Date.now()
 
   const usedTokens = (): number => [...runs.values()].reduce((sum, run) => sum + run.tokens, 0)
 
+  function nameLimit (perS: number | undefined): void {
+    limitText = perS === undefined ? undefined : String(perS)
+    const last = limits.at(-1)
+    if (last !== undefined) last.untilMs ??= performance.now()
+    if (perS !== undefined) limits.push({ perS, fromMs: performance.now() })
+  }
+
   function report (response: ServerResponse): void {
     answerJson(response, 200, {
       born: startedAtMs,
@@ -239,6 +266,7 @@
     stage = options.stage
     isLeaving = false
     backoffS = 0
+    nameLimit(undefined)
     faults.length = 0
     handles.clear()
     server.resetAll()
@@ -257,7 +285,9 @@
     const path = request.url ?? '/'
     sendSecondAnswer(request)
     if (isLeaving) response.setHeader('server-leaving', '1')
+    if (limitText !== undefined) response.setHeader('server-limit', limitText)
     if (path === '/api/report') return report(response)
+    if (path.startsWith('/api/')) ownCallsAtMs.push(performance.now())
     if (path.startsWith('/api/kv-handle/')) {
       handles.delete(path.slice('/api/kv-handle/'.length))
       return answerJson(response, 200, {})
@@ -275,6 +305,10 @@
     ...server,
     seen,
     orders,
+    limits,
+    ownCallsAtMs,
+    nameLimit,
+    sayLimit: (text) => { limitText = text },
     stage: () => stage,
     startedAtMs: () => startedAtMs,
     restart,
@@ -288,6 +322,7 @@
       faults.length = 0
       isAnsweringTwice = false
       backoffS = 0
+      nameLimit(undefined)
     }
   }
 }
