Ask a keeper by one client, whatever it keeps

The way to the keeper of the allotments (its place, its connection, the time of an ask, the pause after one without an answer) stood within the allotments. It is a module of its own now, with the document that names the place, since the limits of replicas will have a keeper as well; the entry has one listener for all services between entries.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -6,7 +6,7 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import type { Clock, Logger, Teardown, UpdateLoop } from 'bendfall-node'
-import { createSuspensionWatch, createSystemClock, createTeardownStack, createUpdateLoop, listen } from 'bendfall-node'
+import { createSuspensionWatch, createSystemClock, createTeardownStack, createUpdateLoop, listen, listenForPeers } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
 import { ALLOTMENT_ROLES, createRouterState, credentialsOf, isKnowledgeFresh, reduceRouter, TICK_MS } from 'bendfall-router'
 import type { Customer, PoolIntent, RouterEffect, RouterEvent, RouterState } from 'bendfall-router'
@@ -133,15 +133,13 @@
   }
   registerDecisionLog(loop, logger, metrics)
   teardowns.push(registerEraLog(keyValue, logger, metrics))
-  const allotments = await registerAllotments({
-    loop,
-    port: keyValue,
-    logger,
-    own: { instanceId: settings.instanceId, address: `${settings.ip}:${settings.peerPorts[1]}` },
-    bounds: allotmentBoundsOf(settings),
-    customers: () => state.customerIndex?.byName ?? NO_CUSTOMERS
+  const own = { instanceId: settings.instanceId, address: `${settings.ip}:${settings.peerPorts[1]}` }
+  const allotments = registerAllotments({ loop, port: keyValue, logger, own, bounds: allotmentBoundsOf(settings), customers: () => state.customerIndex?.byName ?? NO_CUSTOMERS })
+  const peers = await listenForPeers(own.address, (_, streams) => {
+    allotments.serve(streams)
   })
-  teardowns.push(() => { allotments.close().catch((error: unknown) => logger.warn('allotments_not_closed', { error })) })
+  teardowns.push(allotments.close)
+  teardowns.push(() => { peers.close().catch((error: unknown) => logger.warn('peers_not_closed', { error })) })
   teardowns.push(registerDirectory({
     loop,
     port: keyValue,
--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeAllotments.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeAllotments.test.ts
@@ -6,7 +6,8 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { registerAllotments } from '../../allotments/BendfallEdgeAllotments.js'
-import { encodeKeeper, keyOfRole } from '../../allotments/BendfallEdgeAllotmentDocument.js'
+import { keyOfRole } from '../../allotments/BendfallEdgeAllotmentDocument.js'
+import { encodeKeeper } from '../../peer/BendfallEdgeKeeperPlace.js'
 
 const SILENT = createLogger({ level: 'error', write: () => {} })
 const ASK = { role: 'primary', customer: 'acme', units: 200 } as const
@@ -32,11 +33,11 @@
     if (event.type === 'units_answered') outcome = event.outcome
     return event.type === 'time_passed' ? [{ type: 'take_units', key: '1', attempt: 1, ...ASK }] : []
   }, createSystemClock())
-  const allotments = await registerAllotments({ loop, port: AWAY, logger: SILENT, own: { instanceId: 'entry-1', address: '127.0.0.1:0' }, bounds: { windowMs: 8_000, overShare: 0, slackUnits: 0 }, customers: () => new Map() })
+  const allotments = registerAllotments({ loop, port: AWAY, logger: SILENT, own: { instanceId: 'entry-1', address: '127.0.0.1:0' }, bounds: { windowMs: 8_000, overShare: 0, slackUnits: 0 }, customers: () => new Map() })
   allotments.learn([{ key: keyOfRole('primary'), value: encodeKeeper({ instanceId: 'entry-2', address: keeper.address }), revision: 1, leaseId: '' }], [])
   loop.dispatch({ type: 'time_passed' })
   await sleep(answerMs + 200)
-  await allotments.close()
+  allotments.close()
   await keeper.close()
   return { outcome, givenBack }
 }
--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentDuty.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentDuty.ts
@@ -11,8 +11,9 @@
 import type { AllotmentBounds, AllotmentKeeper, AllotmentRole, Customer, UnitsOutcome } from 'bendfall-router'
 import { joinElection } from '../pools/BendfallEdgeHolderLease.js'
 import type { HolderLease, HolderNews, LeaseTiming } from '../pools/BendfallEdgeHolderLease.js'
-import { encodeKeeper, keyOfRole } from './BendfallEdgeAllotmentDocument.js'
-import type { KeeperPlace } from './BendfallEdgeAllotmentDocument.js'
+import type { KeeperPlace } from '../peer/BendfallEdgeKeeperPlace.js'
+import { encodeKeeper } from '../peer/BendfallEdgeKeeperPlace.js'
+import { keyOfRole } from './BendfallEdgeAllotmentDocument.js'
 
 /**
  * Times of the duty. A keeper goes on through an outage of the key-value service for as long
