--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -8,7 +8,7 @@
 import type { Clock, Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { createSuspensionWatch, createSystemClock, createTeardownStack, createUpdateLoop, listen, listenForPeers } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
-import { ALLOTMENT_ROLES, createRouterState, credentialsOf, isKnowledgeFresh, reduceRouter, TICK_MS } from 'bendfall-router'
+import { ALLOTMENT_ROLES, createRouterState, credentialsOf, hasLimit, isKnowledgeFresh, reduceRouter, TICK_MS } from 'bendfall-router'
 import type { Customer, PoolIntent, RouterEffect, RouterEvent, RouterState } from 'bendfall-router'
 import type { Dialect } from './BendfallEdgeDialect.js'
 import type { EdgeSettings } from './BendfallEdgeSettings.js'
@@ -24,6 +24,7 @@
 import { registerCrashReports } from './crashes/BendfallEdgeCrashReports.js'
 import { registerDirectory } from './directory/BendfallEdgeDirectory.js'
 import { registerLedgerClients } from './ledger/BendfallEdgeLedgerClients.js'
+import { registerPermits } from './limits/BendfallEdgePermits.js'
 import { registerDecisionLog, registerEraLog } from './observe/BendfallEdgeDecisionLog.js'
 import { createMetrics } from './observe/BendfallEdgeMetrics.js'
 import type { Metrics } from './observe/BendfallEdgeMetrics.js'
@@ -113,6 +114,7 @@
     dialect: dialect.replica,
     exchanges,
     poolOf: pools.at,
+    hasLimit: (replicaId) => hasLimit(state, replicaId),
     onGarbled: (requestId, detail) => {
       metrics.count('bendfall_answers_garbled_total')
       logger.warn('answer_garbled', { request: requestId, detail })
@@ -122,23 +124,26 @@
       logger.info('answer_without_length', { request: requestId, ...answer })
     }
   }))
-  teardowns.push(registerHolds({ loop, dialect: dialect.replica, poolOf: pools.at }))
+  teardowns.push(registerHolds({ loop, dialect: dialect.replica, poolOf: pools.at, hasLimit: (replicaId) => hasLimit(state, replicaId) }))
   teardowns.push(registerReplicaChecks({ loop, onConnect }))
   teardowns.push(registerCrashReports({ loop, port: keyValue, logger, instanceId: settings.instanceId, rememberedMs: state.crashes.limits.rememberedMs }))
   registerAnswers(loop, exchanges)
   teardowns.push(registerTicks(loop))
   if (options.poolIntent !== undefined) {
     state.poolIntent = options.poolIntent
-    teardowns.push(registerPools({ loop, port: keyValue, dialect: dialect.replica, logger, instanceId: settings.instanceId, poolOf: pools.at }))
+    teardowns.push(registerPools({ loop, port: keyValue, dialect: dialect.replica, logger, instanceId: settings.instanceId, poolOf: pools.at, hasLimit: (replicaId) => hasLimit(state, replicaId) }))
   }
   registerDecisionLog(loop, logger, metrics)
   teardowns.push(registerEraLog(keyValue, logger, metrics))
   const own = { instanceId: settings.instanceId, address: `${settings.ip}:${settings.peerPorts[1]}` }
   const allotments = registerAllotments({ loop, port: keyValue, logger, own, bounds: allotmentBoundsOf(settings), customers: () => state.customerIndex?.byName ?? NO_CUSTOMERS })
+  const permits = registerPermits({ loop, port: keyValue, logger, own })
   const peers = await listenForPeers(own.address, (_, streams) => {
     allotments.serve(streams)
+    permits.serve(streams)
   })
   teardowns.push(allotments.close)
+  teardowns.push(permits.close)
   teardowns.push(() => { peers.close().catch((error: unknown) => logger.warn('peers_not_closed', { error })) })
   teardowns.push(registerDirectory({
     loop,
@@ -150,7 +155,10 @@
     configApplyMs: settings.configApplyMs ?? CONFIG_APPLY_MS,
     revokedWithinMs: state.credentialLimits.revokedWithinMs,
     onReplicas: () => { hasReplicas = true },
-    onOwnDocuments: allotments.learn,
+    onOwnDocuments: (present, goneKeys) => {
+      allotments.learn(present, goneKeys)
+      permits.learn(present, goneKeys)
+    },
     onConfig: () => {
       callers.applyLimits()
       allotments.applyConfig()
@@ -167,6 +175,8 @@
   await listen(callers.server, settings.callersListen)
   metrics.gauge('bendfall_requests_open', () => state.requests.size)
   metrics.gauge('bendfall_replicas_known', () => state.replicas.size)
+  metrics.gauge('bendfall_replicas_limited', () => state.limits.size)
+  metrics.gauge('bendfall_permit_keeper', () => permits.holds() ? 1 : 0)
   metrics.gauge('bendfall_crash_suspects', () => state.crashes.suspects.size)
   metrics.gauge('bendfall_keys_age_milliseconds', () => Math.round(clock.nowMs() - state.configProvenAtMs))
   for (const role of ALLOTMENT_ROLES) metrics.gauge(`bendfall_allotment_keeper_${role}`, () => allotments.holds(role) ? 1 : 0)
@@ -176,6 +186,7 @@
   async function stop (): Promise<void> {
     isStopping = true
     allotments.leave()
+    permits.leave()
     loop.dispatch({ type: 'stop_asked', graceMs: settings.stopGraceS * MS_PER_SECOND - KILL_MARGIN_MS })
     const startedMs = clock.nowMs()
     logger.info('stopping', { open: state.requests.size })
--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeOwnCalls.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeOwnCalls.test.ts
@@ -96,7 +96,7 @@
 test('an order does not take the answer to an earlier one', async () => {
   await beforeReplica(withDoubles(ownAnswer), async (scene) => {
     const port = { get: () => new Promise(() => {}), grantLease: () => new Promise(() => {}) } as unknown as KeyValuePort
-    const close = registerPools({ loop: scene.loop, port, dialect: SCRIPTED_DIALECT, logger: SILENT, instanceId: 'e-1', poolOf: scene.pools.at })
+    const close = registerPools({ loop: scene.loop, port, dialect: SCRIPTED_DIALECT, logger: SILENT, instanceId: 'e-1', poolOf: scene.pools.at, hasLimit: () => false })
     order(scene)
     await scene.next('order_answered', () => true)
     await sleep(IDLE_MS)
--- a/packages/bendfall-edge/src/__tests__/unit/ReplicaScene.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/ReplicaScene.ts
@@ -52,8 +52,8 @@
     return pending.splice(0)
   }, createSystemClock())
   const teardowns: Teardown[] = [
-    registerSends({ loop, dialect: SCRIPTED_DIALECT, exchanges, poolOf: pools.at, onGarbled: (_, detail) => garbled.push(detail), onEndedWithConnection: () => {} }),
-    registerHolds({ loop, dialect: SCRIPTED_DIALECT, poolOf: pools.at })
+    registerSends({ loop, dialect: SCRIPTED_DIALECT, exchanges, poolOf: pools.at, hasLimit: () => false, onGarbled: (_, detail) => garbled.push(detail), onEndedWithConnection: () => {} }),
+    registerHolds({ loop, dialect: SCRIPTED_DIALECT, poolOf: pools.at, hasLimit: () => false })
   ]
 
   const carryOut = (effect: RouterEffect): void => {
--- a/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
@@ -30,6 +30,8 @@
   readonly logger: Logger
   readonly instanceId: string
   readonly poolOf: (address: string) => ConnectionPool
+  /** @returns whether a replica names a limit */
+  readonly hasLimit: (replicaId: string) => boolean
 }
 
 /**
@@ -54,9 +56,10 @@
   }
 
   function order ({ address, fence, replicaId, stage }: RouterEffectOf<'order_stage'>): void {
+    const sentAtMs = loop.clock.nowMs()
     const request = dialect.stageOrder({ replicaId, stage, fence, holder: instanceId })
     startOwnCall(poolOf(address), request, { clock: loop.clock, timeoutMs: ORDER_TIMEOUT_MS }, (answer) => {
-      if (answer.type === 'answered') tellOwnNotice(options, replicaId, answer)
+      if (answer.type === 'answered') tellOwnNotice(options, { replicaId, sentAtMs }, answer)
       takeOutcome(replicaId, answer.type === 'answered' ? dialect.readOrderStatus(answer.status) : answer.isSent ? 'unknown' : 'refused')
     })
   }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
@@ -17,6 +17,8 @@
   readonly dialect: ReplicaDialect
   /** Connections to the replica at an address. */
   readonly poolOf: (address: string) => ConnectionPool
+  /** @returns whether a replica names a limit */
+  readonly hasLimit: (replicaId: string) => boolean
 }
 
 /**
@@ -29,8 +31,9 @@
   const { dialect, loop, poolOf } = options
 
   function take (effect: RouterEffectOf<'take_hold'>): void {
+    const sentAtMs = loop.clock.nowMs()
     startOwnCall(poolOf(effect.address), dialect.takeHold(effect), { clock: loop.clock, timeoutMs: effect.timeoutMs }, (answer) => {
-      if (answer.type === 'answered') tellOwnNotice(options, effect.replicaId, answer)
+      if (answer.type === 'answered') tellOwnNotice(options, { replicaId: effect.replicaId, sentAtMs }, answer)
       const outcome: HoldOutcome = answer.type === 'answered' ? dialect.readHoldAnswer(answer.status, answer.body) : { type: 'unanswered' }
       loop.dispatch({ type: 'hold_answered', key: effect.key, attempt: effect.attempt, outcome })
     })
--- a/packages/bendfall-edge/src/replica/BendfallEdgeNotices.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeNotices.ts
@@ -13,31 +13,39 @@
 export interface NoticeOptions {
   readonly loop: UpdateLoop<RouterEvent, RouterEffect>
   readonly dialect: Pick<ReplicaDialect, 'readAnswerHead'>
+  /** @returns whether a replica names a limit, so that an answer without one tells something */
+  readonly hasLimit: (replicaId: string) => boolean
+}
+
+/** A call that was made to a replica. */
+export interface NoticedCall {
+  readonly replicaId: string
+  readonly sentAtMs: number
 }
 
 /**
  * Tells what the head of an answer says of its replica, if it says anything.
  *
  * @param options - update path
- * @param replicaId - of the replica that was called
+ * @param call - that is answered
  * @param head - of its answer
  */
-export function tellNotice ({ loop }: Pick<NoticeOptions, 'loop'>, replicaId: string, { isWrongReplica, notice }: AnswerHead): void {
-  if (isWrongReplica || !saysAnything(notice)) return
-  loop.dispatch({ type: 'replica_spoke', replicaId, notice })
+export function tellNotice ({ hasLimit, loop }: Pick<NoticeOptions, 'hasLimit' | 'loop'>, { replicaId, sentAtMs }: NoticedCall, { isWrongReplica, notice }: AnswerHead): void {
+  if (isWrongReplica || !(saysAnything(notice) || hasLimit(replicaId))) return
+  loop.dispatch({ type: 'replica_spoke', replicaId, notice, sentAtMs })
 }
 
-function saysAnything ({ backoffMs, isLeaving, undecoded }: ReplicaNotice): boolean {
-  return isLeaving || backoffMs !== undefined || undecoded !== undefined
+function saysAnything ({ backoffMs, isLeaving, limit, undecoded }: ReplicaNotice): boolean {
+  return isLeaving || backoffMs !== undefined || undecoded !== undefined || (limit !== undefined && limit.type !== 'none')
 }
 
 /**
  * The same for the answer to a call of the router's own.
  *
  * @param options - update path and dialect
- * @param replicaId - of the replica that was called
+ * @param call - that is answered
  * @param answer - status and headers
  */
-export function tellOwnNotice (options: NoticeOptions, replicaId: string, { headers, status }: { readonly status: number, readonly headers: IncomingHttpHeaders }): void {
-  tellNotice(options, replicaId, options.dialect.readAnswerHead(status, headers))
+export function tellOwnNotice (options: NoticeOptions, call: NoticedCall, { headers, status }: { readonly status: number, readonly headers: IncomingHttpHeaders }): void {
+  tellNotice(options, call, options.dialect.readAnswerHead(status, headers))
 }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -26,6 +26,8 @@
   readonly exchanges: ReadonlyMap<string, Exchange>
   /** Connections to the replica at an address. */
   readonly poolOf: (address: string) => ConnectionPool
+  /** @returns whether a replica names a limit */
+  readonly hasLimit: (replicaId: string) => boolean
 }
 
 /** An effect that sends a request. */
@@ -63,11 +65,12 @@
     const { forwardHeaders, requestId } = exchange.caller
     const request = { method, path: url, headers: [...forwardHeaders, ...headers], body: exchange.body, requestId }
     const cancelTimeout = scheduleTimeout(loop.clock, tryTimeoutMs, () => loop.dispatch({ type: 'try_timed_out', key, attempt }))
+    const sentAtMs = loop.clock.nowMs()
     const call = startIdentifiedCall(options, poolOf(address), request, {
       ...listener,
       onHead: (status, answerHeaders, head) => {
         // Before the failure that the head may tell: the next try must not go there.
-        tellNotice(options, replicaId, head)
+        tellNotice(options, { replicaId, sentAtMs }, head)
         listener.onHead(status, answerHeaders, head)
       }
     })
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -10,19 +10,22 @@
 import { call, findWrongAnswer } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
 import type { SeenOrder } from '../BendfallFakesFleetReplica.js'
-import { ALL_FAULTS, CUSTOMER_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS, NOTICE_FAULTS } from './BendfallFakesSoakFaults.js'
+import { ALL_FAULTS, CUSTOMER_FAULTS, DRILL_FAULTS, inflict, LEAVING_FAULTS, LIMIT_FAULTS, NOTICE_FAULTS } from './BendfallFakesSoakFaults.js'
 import { createSoakCustomers, findWrittenKeys, STEADY_KEY } from './BendfallFakesSoakCustomers.js'
 import { POISON_PATH, SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet } from './BendfallFakesSoakFleet.js'
 import { findCrashFaults, findInBackoff, findLateToLeaving } from './BendfallFakesSoakNotices.js'
+import { findOverLimit } from './BendfallFakesSoakLimits.js'
+import type { IsEntryCalm } from './BendfallFakesSoakLimits.js'
 import type { IsCalm, NoticeEvidence } from './BendfallFakesSoakNotices.js'
 
 /**
  * Faults that a soak draws from: all, a store that comes back from older copies, what
- * replicas say of themselves beside a request that ends each replica which runs it, or
+ * replicas say of themselves beside a request that ends each replica which runs it, limits
+ * that replicas name on the requests of all entries together, or
  * customers whose keys come and go and of whom one asks for more than its limit.
  */
-export type SoakPlan = 'customers' | 'faults' | 'drills' | 'notices'
+export type SoakPlan = 'customers' | 'faults' | 'drills' | 'limits' | 'notices'
 
 /** Result of a soak. */
 export interface SoakResult {
@@ -53,12 +56,18 @@
 /** Faults that excuse an entry; connections that fall silent don't. */
 const EXCUSING = /^(kill|pause|terminate) entry|^proxy|^store/
 
+/** Faults that excuse one entry from a limit. */
+const ENDING = /^(kill|pause|terminate) /
+
 const KINDS: readonly CallKind[] = ['booking', 'brief', 'rate', 'summary']
 const CALLERS = 8
 
 /** Enough that each entry asks each replica several times a second, so that one request too many shows. */
 const NOTICE_CALLERS = 32
 
+/** Plans whose verdicts need them. */
+const MANY_CALLERS: ReadonlySet<SoakPlan> = new Set(['limits', 'notices'])
+
 const CALL_PAUSE_MS = 30
 const POISON_PAUSE_MS = 300
 const FAULT_SERIES = 2
@@ -78,6 +87,7 @@
 const FAULTS_OF: Readonly<Record<SoakPlan, (seed: number) => readonly string[]>> = {
   customers: () => CUSTOMER_FAULTS,
   drills: () => DRILL_FAULTS,
+  limits: () => LIMIT_FAULTS,
   faults: (seed) => seed % LEAVING_EVERY === 0 ? LEAVING_FAULTS : ALL_FAULTS,
   notices: () => NOTICE_FAULTS
 }
@@ -100,12 +110,12 @@
     const endsAtMs = performance.now() + seconds * 1_000
     const isOver = (): boolean => performance.now() >= endsAtMs
     await Promise.all([
-      ...Array.from({ length: plan === 'notices' ? NOTICE_CALLERS : CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
+      ...Array.from({ length: MANY_CALLERS.has(plan) ? NOTICE_CALLERS : CALLERS }, (_, index) => callOn(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
       ...(plan === 'notices' ? [poisonOn(fleet, seed, records, isOver)] : []),
       ...Array.from({ length: FAULT_SERIES }, (_, index) => harmOn(fleet, createDraw(seed * FAULT_SERIES + index), names, faults, isOver))
     ])
     const evidence = { fleet, records, isCalm: createCalm(faults) }
-    const violations = [...findViolations(fleet, records), ...findCustomerFaults(fleet, records), ...findLateArrivals(evidence), ...findLateToLeaving(evidence), ...findInBackoff(evidence), ...findCrashFaults(evidence), ...findFenceFaults(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
+    const violations = [...findViolations(fleet, records), ...findCustomerFaults(fleet, records), ...findLateArrivals(evidence), ...findLateToLeaving(evidence), ...findInBackoff(evidence), ...findCrashFaults(evidence), ...findOverLimit(fleet, records, createEntryCalm(fleet, faults)), ...findFenceFaults(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findHeld(fleet)]
     const answered = records.filter(({ isWhole, status }) => status === 200 && isWhole).length
     const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
     const orders = fleet.models.reduce((sum, { replica }) => sum + replica.orders.length, 0)
@@ -163,6 +173,12 @@
   return (atMs) => excuses.every(({ fromMs, untilMs }) => atMs < fromMs || atMs > untilMs + CALM_MS)
 }
 
+// A restart, a pause or a cut of an entry excuses that entry.
+function createEntryCalm ({ entries }: SoakFleet, faults: readonly SoakFault[]): IsEntryCalm {
+  const excuses = faults.filter(({ name }) => ENDING.test(name))
+  return (atMs, entry) => excuses.every(({ fromMs, name, untilMs }) => !name.endsWith(`entry-${entries.indexOf(entry)}`) || atMs < fromMs || atMs > untilMs + CALM_MS)
+}
+
 // A replica that leaves gets no new work after the drain time.
 function findLateArrivals ({ fleet: { away }, isCalm }: NoticeEvidence): string[] {
   return away.flatMap(({ fromMs, replica, untilMs = Infinity }) => replica.seen
@@ -195,7 +211,7 @@
 }
 
 /** Lines on what an entry knows of replicas and of the service that tells it. */
-const MEMBERSHIP_EVENTS = /event=(replica_|registrations_|directory_|store_|started|stop)/
+const MEMBERSHIP_EVENTS = /event=(replica_|registrations_|directory_|store_|started|stop|duty_|keeper|permits_)/
 
 function findEvidence ({ nodes }: SoakFleet, violations: readonly string[]): string[] {
   if (violations.length === 0) return []
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoakMain.ts
@@ -2,7 +2,8 @@
  * Command line of the soak: `npm run soak:fleet -- --seeds 1-50 --seconds 8`, with
  * `--plan drills` for a store that comes back from older copies and `--plan notices` for
  * what replicas say of themselves beside a request that ends replicas and `--plan customers`
- * for keys that come and go and a customer that asks for more than its limit.
+ * for keys that come and go and a customer that asks for more than its limit and `--plan limits`
+ * for limits that replicas name on the requests of all entries together.
  *
  * @module
  */
@@ -13,7 +14,7 @@
 const { values } = parseArgs({ options: { seeds: { type: 'string', default: '1-5' }, seconds: { type: 'string', default: '8' }, plan: { type: 'string', default: 'faults' } } })
 const [first = 1, last = first] = values.seeds.split('-').map(Number)
 
-const PLANS: readonly SoakPlan[] = ['faults', 'drills', 'notices', 'customers']
+const PLANS: readonly SoakPlan[] = ['faults', 'drills', 'limits', 'notices', 'customers']
 const plan = PLANS.find((one) => one === values.plan)
 if (plan === undefined) throw new Error(`--plan: expected one of ${PLANS.join(', ')}, found ${values.plan}`)
 
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -5,7 +5,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Draw } from '../../BendfallFakesClusterFaults.js'
-import type { FleetReplicaFault } from '../BendfallFakesFleetReplica.js'
+import type { FleetReplica, FleetReplicaFault } from '../BendfallFakesFleetReplica.js'
 import type { FleetProxy, ProxyFault } from './BendfallFakesFleetProxy.js'
 import { endWords } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet, SoakNode } from './BendfallFakesSoakFleet.js'
@@ -36,6 +36,13 @@
 /** Owners that live write again within this time after a restore; what they don't write lapses. */
 const WRITTEN_AGAIN_MS = 2_000
 
+/** Limits that replicas name, requests a second; 0 is a rest without an end. */
+const LIMITS_PER_S = [0, 0.2, 2, 5.1, 20] as const
+
+/** How long each of them holds, and how many follow each other. */
+const LIMIT_MS = [1_500, 5_000, 8_000] as const
+const LIMIT_CHANGES = 2
+
 /** Backoffs that replicas ask for, whole seconds as they tell them. */
 const BACKOFF_S = [1, 2, 3] as const
 
@@ -94,6 +101,11 @@
     one.register('ready')
     return `${one.replicaId} ${state}`
   },
+  limit: async ({ models, plain }, draw) => {
+    const { replica, replicaId } = draw([...models, ...plain, ...plain])
+    return await nameLimits([replica], draw, replicaId)
+  },
+  limit_all: async ({ plain }, draw) => await nameLimits(plain.map(({ replica }) => replica), draw, 'plain'),
   pause: async (fleet, draw) => {
     const node = draw(fleet.nodes)
     const { process } = node
@@ -172,15 +184,31 @@
   }
 }
 
+// They change once, and are lifted; another series may have named one meanwhile.
+async function nameLimits (replicas: readonly FleetReplica[], draw: Draw, name: string): Promise<string> {
+  const told: number[] = []
+  for (let i = 0; i < LIMIT_CHANGES; i++) {
+    const perS = draw(LIMITS_PER_S)
+    told.push(perS)
+    for (const replica of replicas) replica.nameLimit(perS)
+    await sleep(draw(LIMIT_MS))
+  }
+  for (const replica of replicas) replica.nameLimit(undefined)
+  return `${name} ${told.join(', ')} a second`
+}
+
 const DRILL = 'store_restored'
 
 /** Names of the faults by which former seeds drew. */
-const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'cut_off', 'keys', 'say_leaving'])
+const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'cut_off', 'keys', 'limit', 'limit_all', 'say_leaving'])
 export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS).filter((name) => !LATER_FAULTS.has(name))
 
 /** Replicas that leave, or back off, by their own answers alone, beside others that are registered or start again. */
 export const NOTICE_FAULTS: readonly string[] = ['back_off', 'back_off', 'say_leaving', 'say_leaving', 'leave', 'pause', 'reset', 'restart', 'store_fails']
 
+/** Limits that replicas name, alone and all of a service, while entries and replicas end, pause and are cut off. */
+export const LIMIT_FAULTS: readonly string[] = ['cut_off', 'kill', 'limit', 'limit', 'limit_all', 'limit_all', 'limit_all', 'pause', 'reset', 'restart', 'store_fails', 'terminate']
+
 /** Drills in which the store comes back from a copy, also twice in a row, among replicas that leave and entries that pause. */
 export const DRILL_FAULTS: readonly string[] = [DRILL, DRILL, 'leave', 'leave', 'pause', 'reset', 'restart', 'silence', 'store_fails']
 
--- a/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterBelief.ts
@@ -5,10 +5,12 @@
  * @module
  */
 import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
+import { hasPermit } from '../limits/BendfallRouterReplicaLimits.js'
 import { backoffLeftMs, hasSaidLeaving } from '../notices/BendfallRouterNotices.js'
 import type { Replica, ReplicaStage } from '../BendfallRouterTypes.js'
 import type { SendFailure } from './BendfallRouterEvents.js'
 import type { RouterContext } from './BendfallRouterContext.js'
+import { createRecentSends } from './BendfallRouterRecentSends.js'
 import { isStalled } from './BendfallRouterStalls.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaBelief, RouterState } from './BendfallRouterState.js'
@@ -50,6 +52,7 @@
     subsetScore,
     loadAtMs: -Infinity,
     inFlight: 0,
+    recentSends: createRecentSends(),
     bookedSinceLoad: 0,
     ownTokens: 0,
     prefillTokens: 0,
@@ -97,7 +100,8 @@
 
 /**
  * Replicas that a request may be sent to. Those under suspicion count only
- * when no other is left; those that back off don't count at all.
+ * when no other is left; those that back off, or name a limit for which no permit is at hand, don't
+ * count at all.
  *
  * @param context - of the event
  * @param request - the request
@@ -106,12 +110,16 @@
  */
 export function usableReplicas ({ nowMs, state }: RouterContext, request: RequestState, stage: ReplicaStage): ReplicaBelief[] {
   const open = (state.usedByService.get(request.service) ?? []).filter((belief) =>
-    !isLeaving(state, belief) && backoffLeftMs(state.notices, nameProcess(belief.replica), nowMs) === 0 && stageOf(belief) === stage && !request.excluded.has(belief.replica.replicaId))
+    !isLeaving(state, belief) && backoffLeftMs(state.notices, nameProcess(belief.replica), nowMs) === 0 && stageOf(belief) === stage && !request.excluded.has(belief.replica.replicaId) && isPermitted(state, belief, nowMs))
   if (state.decisions.suspicion === 'off') return open
   const trusted = open.filter((belief) => belief.suspectUntilMs <= nowMs && !isSick(belief, nowMs) && !isStalled(belief, request.route.name, nowMs))
   return trusted.length > 0 ? trusted : open
 }
 
+function isPermitted ({ limits }: RouterState, { replica }: ReplicaBelief, nowMs: number): boolean {
+  return limits.size === 0 || hasPermit(limits.get(nameProcess(replica)), nowMs)
+}
+
 function isSick ({ load, loadAtMs }: ReplicaBelief, nowMs: number): boolean {
   return load?.isHealthy === false && nowMs - loadAtMs < SICK_LOAD_MS
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
@@ -4,13 +4,14 @@
  * @module
  */
 import type { CrashReport } from '../crashes/BendfallRouterCrashReport.js'
+import type { PermitAsk } from '../limits/BendfallRouterPermitKeeper.js'
 import type { AllotmentRole } from '../allotments/BendfallRouterAllotmentKeeper.js'
 import type { ReplicaStage } from '../BendfallRouterTypes.js'
 
 /** Why a request ended without a replica's answer. */
 export type EndReason =
   | 'no_config' | 'no_route' | 'unknown_key' | 'keys_unproven' | 'allotment_spent' | 'allotment_unknown' | 'no_replica' | 'no_memory' | 'prefill_busy' | 'too_large' | 'stopping'
-  | 'deadline' | 'replica_refused' | 'replica_failed' | 'budget' | 'caller_left' | 'crashes_replicas' | 'replicas_back_off'
+  | 'deadline' | 'replica_refused' | 'replica_failed' | 'budget' | 'caller_left' | 'crashes_replicas' | 'replicas_back_off' | 'replicas_limited'
 
 /** Values of a log line. */
 export type DecisionInputs = Readonly<Record<string, string | number | boolean | undefined>>
@@ -31,6 +32,8 @@
   | { readonly type: 'ask_loads', readonly request?: LoadsWanted, readonly replicaIds: readonly string[] }
   /** Takes units of a customer's allotment at the keeper that has a role. */
   | { readonly type: 'take_units', readonly key: string, readonly attempt: number, readonly role: AllotmentRole, readonly customer: string, readonly units: number }
+  /** Asks the keeper of limits for permits, after a time. */
+  | { readonly type: 'ask_permits', readonly replicaId: string, readonly ask: PermitAsk, readonly inMs: number }
   /** Gives units back that were taken for a request that never ran. */
   | { readonly type: 'give_back_units', readonly role: AllotmentRole, readonly customer: string, readonly units: number }
   /** Books memory at the ledger beside a replica. */
--- a/packages/bendfall-router/src/entry/BendfallRouterEnd.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEnd.ts
@@ -9,7 +9,7 @@
 import { noteCallerRefused } from './BendfallRouterCallerWaits.js'
 import { leaveUnits } from './BendfallRouterAllotment.js'
 import { noteUnanswered } from './BendfallRouterStalls.js'
-import { isBackingOff } from './BendfallRouterNotice.js'
+import { endPermitWait, leavePermit, mayTell } from './BendfallRouterRateLimit.js'
 import { leaveHold } from './BendfallRouterHold.js'
 import { leavePromises } from './BendfallRouterSend.js'
 import type { RequestState } from './BendfallRouterRequest.js'
@@ -71,6 +71,7 @@
     effects.push({ type: 'release', replicaId: belief.replica.replicaId, address: belief.replica.address, bookingId: request.bookingId })
   }
   leaveHold(context, request)
+  leavePermit(context, request)
   request.reservedAt = undefined
   request.bookingId = undefined
 }
@@ -84,8 +85,8 @@
 export function leaveHandle (context: RouterContext, request: RequestState): void {
   if (request.handle === undefined) return
   const { address, handle, replicaId } = request.handle
-  // It lapses by itself where the replica wants no call.
-  if (!isBackingOff(context, replicaId)) context.effects.push({ type: 'free_handle', address, handle })
+  // It lapses by itself where the replica wants no call, or takes no more.
+  if (mayTell(context, replicaId)) context.effects.push({ type: 'free_handle', address, handle })
   request.handle = undefined
 }
 
@@ -152,6 +153,7 @@
 }
 
 function end (context: RouterContext, request: RequestState): void {
+  endPermitWait(context, request)
   leaveRun(context, request)
   leavePrefillSlot(context, request)
   leavePrefill(context, request)
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -5,6 +5,7 @@
  */
 import type { CrashReport } from '../crashes/BendfallRouterCrashReport.js'
 import type { AllotmentRole, UnitsOutcome } from '../allotments/BendfallRouterAllotmentKeeper.js'
+import type { NamedLimit, PermitAsk, PermitOutcome } from '../limits/BendfallRouterPermitKeeper.js'
 import type { ReplicaNotice } from '../notices/BendfallRouterNotices.js'
 import type { Prompt, Replica, ReplicaLoad, RouterConfig } from '../BendfallRouterTypes.js'
 
@@ -112,8 +113,12 @@
   | { readonly type: 'try_timed_out', readonly key: string, readonly attempt: number }
   /** A tick of the balance of pools; `fence` is there while this process holds the lease on them. */
   | { readonly type: 'balance_due', readonly fence?: number }
-  /** A replica said something of itself in the head of an answer, whatever was asked. */
-  | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice }
+  /** A replica said something of itself in the head of an answer, whatever was asked; `sentAtMs`: when it was. */
+  | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice, readonly sentAtMs?: number }
+  /** Limits that other entries have heard of. */
+  | { readonly type: 'limits_told', readonly limits: readonly NamedLimit[] }
+  /** Answer of the keeper of limits, or none. */
+  | { readonly type: 'permits_answered', readonly replicaId: string, readonly ask: PermitAsk, readonly outcome: PermitOutcome }
   /** Answer to a check of a replica on which a connection was lost. */
   | { readonly type: 'replica_checked', readonly replicaId: string, readonly startedAtMs?: number, readonly outcome: ProcessCheck }
   /** What an entry has seen of crashes, this one before it started again among them. */
--- a/packages/bendfall-router/src/entry/BendfallRouterHold.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterHold.ts
@@ -10,7 +10,7 @@
 import { noteFailure } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
-import { isBackingOff } from './BendfallRouterNotice.js'
+import { mayTell } from './BendfallRouterRateLimit.js'
 import type { HoldOutcome } from './BendfallRouterEvents.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
@@ -76,7 +76,7 @@
 export function leaveHold (context: RouterContext, request: RequestState): void {
   if (request.hold === undefined) return
   const { replicaId, ...hold } = request.hold
-  // It lapses by itself where the replica wants no call.
-  if (!isBackingOff(context, replicaId)) context.effects.push({ type: 'drop_hold', ...hold })
+  // It lapses by itself where the replica wants no call, or takes no more.
+  if (mayTell(context, replicaId)) context.effects.push({ type: 'drop_hold', ...hold })
   request.hold = undefined
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
@@ -12,6 +12,7 @@
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
+import { takeLimit } from './BendfallRouterRateLimit.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
 import { chooseSubset } from './BendfallRouterSubset.js'
@@ -25,11 +26,12 @@
  * @param context - of the event
  * @param event - the notice
  */
-export function takeReplicaNotice (context: RouterContext, { notice, replicaId }: Pick<RouterEventOf<'replica_spoke'>, 'notice' | 'replicaId'>): void {
+export function takeReplicaNotice (context: RouterContext, { notice, replicaId, sentAtMs = -Infinity }: Pick<RouterEventOf<'replica_spoke'>, 'notice' | 'replicaId' | 'sentAtMs'>): void {
   const { effects, nowMs, state } = context
   const replica = state.replicas.get(replicaId)?.replica
   if (replica === undefined) return
   logUndecoded(context, replica, notice)
+  if (notice.limit !== undefined) takeLimit(context, replica, notice.limit, sentAtMs)
   const change = takeNotice(state.notices, nameProcess(replica), notice, nowMs)
   if (change === 'nothing') return
   effects.push({ type: 'log', decision: change === 'leaves' ? 'replica_says_leaving' : 'replica_backs_off', requestId: '', inputs: { replica: replicaId, backoffMs: notice.backoffMs } })
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -10,6 +10,7 @@
 import { endAnswered, leaveRun } from './BendfallRouterEnd.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
 import { refuseBackoff } from './BendfallRouterNotice.js'
+import { awaitPermit, limitOf, wantPermits } from './BendfallRouterRateLimit.js'
 import { hasNotRun, mayRunAgain, takeRetry } from './BendfallRouterRetry.js'
 import { noteSendFailed, paySend, refuseUnpaid, sendRun } from './BendfallRouterSend.js'
 import { noteAnswered, noteUnanswered } from './BendfallRouterStalls.js'
@@ -25,6 +26,10 @@
 /** Candidates of which the best is taken; more would make all entries choose the same replica. */
 const CANDIDATES = 6
 
+/** A replica for which a permit is at hand is chosen although it is expected to take so much longer. */
+const PERMIT_WORTH_SHARE = 0.3
+const PERMIT_WORTH_MS = 20
+
 /** Time of an answer before any was measured. */
 const FIRST_LATENCY_MS = 40
 
@@ -42,8 +47,9 @@
  * @returns the next step
  */
 export function startPlain (context: RouterContext, request: RequestState): NextStep {
+  wantPermits(context, request, stageFor(request))
   const belief = chooseReplica(context, request)
-  if (belief === undefined) return refuseBackoff(context, request, request.route.hasPrompt ? 'decode' : 'plain') ?? { type: 'refuse', status: 503, reason: 'no_replica', retryAfterMs: NO_REPLICA_RETRY_MS }
+  if (belief === undefined) return withoutReplica(context, request)
   const { address, replicaId } = belief.replica
   const payment = paySend(context, request, belief)
   if (payment === 'closed' || payment === 'unpaid') return refuseUnpaid(request)
@@ -61,6 +67,17 @@
   return undefined
 }
 
+function withoutReplica (context: RouterContext, request: RequestState): NextStep {
+  const stage = stageFor(request)
+  const limited = awaitPermit(context, request, stage, 'plain')
+  if (limited !== undefined) return limited.next
+  return refuseBackoff(context, request, stage) ?? { type: 'refuse', status: 503, reason: 'no_replica', retryAfterMs: NO_REPLICA_RETRY_MS }
+}
+
+function stageFor ({ route }: RequestState): 'decode' | 'plain' {
+  return route.hasPrompt ? 'decode' : 'plain'
+}
+
 /**
  * Takes the whole answer of a call. A failure of the replica is tried again
  * where that is allowed; any other answer goes to the caller.
@@ -114,12 +131,11 @@
 }
 
 function chooseReplica (context: RouterContext, request: RequestState): ReplicaBelief | undefined {
-  const stage = request.route.hasPrompt ? 'decode' : 'plain'
-  const usable = sample(context, usableReplicas(context, request, stage))
+  const usable = sample(context, usableReplicas(context, request, stageFor(request)))
   let best: ReplicaBelief | undefined
   let bestMs = Infinity
   for (const belief of usable) {
-    const expectedMs = expectedLatencyMs(belief)
+    const expectedMs = expectedLatencyMs(belief) - permitWorthMs(context, belief)
     if (expectedMs >= bestMs || (best !== undefined && context.state.decisions.replica === 'random')) continue
     best = belief
     bestMs = expectedMs
@@ -140,6 +156,11 @@
   return meanMs * (1 + inFlight / Math.max(1, replica.slots)) / (1 - Math.min(0.9, failureShare)) ** 2
 }
 
+// A permit lapses soon: used, it leaves the other replicas to the requests that have none.
+function permitWorthMs ({ state }: RouterContext, belief: ReplicaBelief): number {
+  return limitOf(state, belief.replica) === undefined ? 0 : PERMIT_WORTH_SHARE * expectedLatencyMs(belief) + PERMIT_WORTH_MS
+}
+
 function tryTimeoutOf (request: RequestState, belief: ReplicaBelief): number | undefined {
   if (!mayRunAgain(request) || request.runs >= request.route.maxAttempts) return undefined
   return Math.max(SHORTEST_TRY_TIMEOUT_MS, TRY_TIMEOUT_MEANS * belief.latencyMs)
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -9,6 +9,7 @@
 import type { PoolMember, StageChange } from '../pools/BendfallRouterPoolBalance.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import { isOpen } from './BendfallRouterNotice.js'
+import { takePermit } from './BendfallRouterRateLimit.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
@@ -141,7 +142,7 @@
 
 function order (context: RouterContext, replicaId: string, stage: 'prefill' | 'decode' | 'plain', fence: number, { readings, work }: ObservedWork): void {
   const belief = context.state.replicas.get(replicaId)
-  if (belief === undefined) return
+  if (belief === undefined || !takePermit(context, belief)) return
   context.effects.push({ type: 'order_stage', replicaId, address: belief.replica.address, stage, fence })
   context.effects.push({ type: 'log', decision: 'stage_ordered', requestId: '', inputs: { replica: replicaId, stage, fence, prefillWork: round(work.prefill), decodeWork: round(work.decode), readings } })
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefillQueue.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefillQueue.ts
@@ -13,6 +13,7 @@
 import { askLoads, knownReplicas } from './BendfallRouterLoads.js'
 import { refuseBackoff } from './BendfallRouterNotice.js'
 import { backlogOf, ownLeadMs, planPrefill } from './BendfallRouterPrefillPlan.js'
+import { awaitPermit, wantPermits } from './BendfallRouterRateLimit.js'
 import { canReadNow, chooseReading } from './BendfallRouterReading.js'
 import { coverRuns, refusedShare } from './BendfallRouterRefusals.js'
 import { dueMs, longestWaitMs, refuseMemory } from './BendfallRouterReserve.js'
@@ -33,7 +34,11 @@
  * @returns the next step
  */
 export function startQueue (context: RouterContext, request: RequestState): NextStep {
+  wantPermits(context, request, 'prefill')
+  wantPermits(context, request, 'decode')
   if (askLoads(context, request, 'queue')) return undefined
+  const limited = awaitPermit(context, request, 'decode', 'queue')
+  if (limited !== undefined) return limited.next
   const refused = refuseBackoff(context, request, 'decode')
   if (refused !== undefined) return refused
   request.reading = chooseReading(context, request)
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -20,6 +20,7 @@
 import { startQueue, takeQueueAnswer } from './BendfallRouterPrefillQueue.js'
 import { startConfirm, takeConfirmAnswer } from './BendfallRouterConfirm.js'
 import { forgetReplica, learnForeign, learnReplica, noteMissing } from './BendfallRouterRegistrations.js'
+import { endPermitWait, forgetOldLimits, takePermitsAnswer, takeToldLimits } from './BendfallRouterRateLimit.js'
 import { learnReadSpeed } from './BendfallRouterReading.js'
 import { noteRun } from './BendfallRouterRefusals.js'
 import { startReserve, takeHoldAnswer, takeReserveAnswer } from './BendfallRouterReserve.js'
@@ -91,6 +92,7 @@
     belief.loadAtMs = -Infinity
     noteLedgerLost(belief, context.nowMs)
   },
+  limits_told: takeToldLimits,
   load_learned: (context, event) => {
     const belief = context.state.replicas.get(event.load.replicaId)
     if (belief === undefined) return
@@ -105,6 +107,12 @@
   loads_answered: (context, event) => withAttempt(context, event, ({ afterLoads, phase }) =>
     phase === 'loads' && afterLoads !== undefined ? { type: afterLoads } : undefined),
   order_answered: takeOrderAnswer,
+  permits_answered: (context, event) => {
+    for (const { request, step } of takePermitsAnswer(context, event)) {
+      endPermitWait(context, request)
+      advance(context, request, { type: step })
+    }
+  },
   prefill_answered: (context, event) => inPhase(context, event, 'prefill', (request) =>
     takePrefillAnswer(context, request, event.outcome, handleTtlMs(context.state, request))),
   prefill_queue_answered: (context, event) => inPhase(context, event, 'queue', (request) => takeQueueAnswer(context, request, event.outcome)),
@@ -126,7 +134,10 @@
   run_failed: (context, event) => withAttempt(context, event, (request) =>
     request.phase === 'plain' ? takePlainFailure(context, request, event.failure) : takeRunFailure(context, request, event)),
   stop_asked: (context, event) => { context.state.stop = { askedAtMs: event.atMs, killAtMs: event.atMs + event.graceMs } },
-  time_passed: noteOverdue,
+  time_passed: (context) => {
+    noteOverdue(context)
+    forgetOldLimits(context)
+  },
   try_timed_out: (context, event) => withAttempt(context, event, (request) => {
     logDecision(context, request, 'try_timed_out', { replica: request.runAt ?? request.prefillAt, phase: request.phase })
     if (request.phase === 'prefill') return takePrefillFailure(context, request, 'unknown')
--- a/packages/bendfall-router/src/entry/BendfallRouterRequest.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRequest.ts
@@ -9,7 +9,7 @@
 import type { SendAccount } from './BendfallRouterSend.js'
 
 /** Step of the path that a request is in. */
-export type Phase = 'allotment' | 'plain' | 'loads' | 'queue' | 'reserve' | 'hold' | 'prefill' | 'confirm' | 'run' | 'ended'
+export type Phase = 'allotment' | 'permit' | 'plain' | 'loads' | 'queue' | 'reserve' | 'hold' | 'prefill' | 'confirm' | 'run' | 'ended'
 
 /** Result of a prefill, kept at its replica for a short time. */
 export interface PrefillResult {
@@ -35,6 +35,16 @@
 /** Step that waits until the registrations are known again. */
 export type ParkedStep = 'allotment' | 'plain' | 'queue' | 'reserve' | 'prefill' | 'confirm' | 'run'
 
+/** Step that may wait for a permit. */
+export type PermitStep = 'plain' | 'queue' | 'reserve'
+
+/** Permit that a run takes with it to a replica which names a limit. */
+export interface CarriedPermit {
+  /** Name of the replica's process. */
+  readonly processName: string
+  readonly takenAtMs: number
+}
+
 /** Place in the queue of a prefill replica. */
 export interface PrefillSlot {
   readonly replicaId: string
@@ -88,6 +98,11 @@
   afterLoads?: LoadStep
   /** Step that waits until the registrations are known again. */
   parked?: ParkedStep
+  /** Step that follows once a permit is there. */
+  permitStep?: PermitStep
+  /** Longest that it waits for permits. */
+  permitWaitUntilMs?: number
+  permit?: CarriedPermit
   /** Replicas that the request was sent to and that may have run it. */
   runs: number
   /** Sends to replicas, of prompts and of runs. */
--- a/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
@@ -16,6 +16,7 @@
 import type { MemoryOption } from './BendfallRouterMemoryOptions.js'
 import { isOpen, refuseBackoff } from './BendfallRouterNotice.js'
 import { planPrefill } from './BendfallRouterPrefillPlan.js'
+import { awaitPermit, carryPermit, takePermit, wantPermits } from './BendfallRouterRateLimit.js'
 import { canReadNow, FIRST_EVENT_MS, readInPlaceMs } from './BendfallRouterReading.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 
@@ -48,6 +49,7 @@
  * @returns the next step
  */
 export function startReserve (context: RouterContext, request: RequestState): NextStep {
+  wantPermits(context, request, 'decode')
   if (askLoads(context, request, 'reserve')) return undefined
   return request.reading === 'in_place' ? reserveReader(context, request) : reserveRoom(context, request)
 }
@@ -62,6 +64,8 @@
 
 function reserveRoom (context: RouterContext, request: RequestState): NextStep {
   const decodes = knownReplicas(context, request, 'decode')
+  const limited = decodes.length === 0 ? awaitPermit(context, request, 'decode', 'reserve') : undefined
+  if (limited !== undefined) return limited.next
   if (decodes.length === 0) return refuseBackoff(context, request, 'decode') ?? refuseMemory(context, request, NO_REPLICA_RETRY_MS, 'no_replica')
   const plan = planPrefill(context, request)
   const leadMs = request.handle !== undefined ? 0 : plan?.leadMs ?? 0
@@ -89,6 +93,7 @@
   if (outcome.type === 'unreachable') {
     if (belief !== undefined) noteLedgerLost(belief, context.nowMs)
     if (belief === undefined || !isOpen(context, belief)) return askAgain(context, request)
+    if (!takePermit(context, belief)) return goOn(request)
     return startHold(context, request, belief, expectedTokens(request), request.handle === undefined ? planPrefill(context, request)?.leadMs ?? readInPlaceMs(context.state, request) : 0)
   }
   if (outcome.type === 'replica_lost') return leaveLost(context, request, replicaId)
@@ -155,7 +160,10 @@
   logDecision(context, request, 'reservation_asked', {
     replica: replicaId, waitMs: Math.round(option.waitMs), roomTokens: Math.round(option.roomTokens), loadAgeMs: Math.round(context.nowMs - belief.loadAtMs), leadMs: Math.round(leadMs), maxWaitMs: Math.round(maxWaitMs), reading: request.reading
   })
+  carryPermit(context, request, belief)
   if (context.state.decisions.reserve === 'none') return goOn(request)
+  // The run goes before the hold where the replica takes one request only.
+  if (belief.ledgerDownUntilMs > context.nowMs && !takePermit(context, belief)) return goOn(request)
   if (belief.ledgerDownUntilMs > context.nowMs) return startHold(context, request, belief, expectedTokens(request), leadMs + readMs)
   context.effects.push({
     type: 'reserve',
--- a/packages/bendfall-router/src/entry/BendfallRouterSend.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterSend.ts
@@ -11,6 +11,8 @@
 import type { DecisionInputs, RouterEffectOf } from './BendfallRouterEffects.js'
 import type { SendFailure } from './BendfallRouterEvents.js'
 import { isOpen } from './BendfallRouterNotice.js'
+import { usePermitOf } from './BendfallRouterRateLimit.js'
+import { noteRecentSend } from './BendfallRouterRecentSends.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
 
@@ -107,7 +109,8 @@
 
 /**
  * Pays for a send, just before it is made. A replica that leaves or backs off is sent
- * nothing, whatever was booked there before it said so.
+ * nothing, whatever was booked there before it said so, and one that names a limit no more
+ * than permits were leased for.
  *
  * @param context - of the event
  * @param request - the request
@@ -116,13 +119,20 @@
  */
 export function paySend (context: RouterContext, request: RequestState, belief: ReplicaBelief): Payment | Unsent {
   if (!isOpen(context, belief)) return 'closed'
+  if (request.account.counted > 0 && !coverSends(context, request, 1)) return 'unpaid'
+  if (!usePermitOf(context, request, belief)) return 'closed'
+  const payment = payFromBudget(context, request)
+  if (payment !== 'unpaid') noteRecentSend(belief.recentSends, context.nowMs)
+  return payment
+}
+
+function payFromBudget (context: RouterContext, request: RequestState): Payment | 'unpaid' {
   const { account } = request
   account.extraMadeAtMs = undefined
   if (account.counted === 0) {
     account.counted = 1
     return 'first'
   }
-  if (!coverSends(context, request, 1)) return 'unpaid'
   account.promised -= 1
   if (!makeExtra(budgetOf(context, request.service), context.nowMs)) {
     logDecision(context, request, 'retry_budget_spent', { service: request.service, missing: 1 })
--- a/packages/bendfall-router/src/entry/BendfallRouterStandstill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterStandstill.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { dropPermits } from '../limits/BendfallRouterReplicaLimits.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { ParkedStep, RequestState } from './BendfallRouterRequest.js'
 import type { RouterState } from './BendfallRouterState.js'
@@ -29,13 +30,14 @@
   state.configProvenAtMs -= suspendedMs
   if (gapMs === Infinity || gapMs <= STANDSTILL_MS) return
   state.isUnsure = true
-  if (suspendedMs > 0) forgetLoads(state)
+  if (suspendedMs > 0) forgetWhatAged(state)
   effects.push({ type: 'refresh_replicas' })
   effects.push({ type: 'log', decision: 'stood_still', requestId: '', inputs: { gapMs: Math.round(gapMs), suspendedMs: Math.round(suspendedMs), requests: state.requests.size } })
 }
 
-function forgetLoads ({ replicas }: RouterState): void {
+function forgetWhatAged ({ limits, replicas }: RouterState): void {
   for (const belief of replicas.values()) belief.loadAtMs = -Infinity
+  for (const limit of limits.values()) dropPermits(limit)
 }
 
 /**
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -11,6 +11,7 @@
 import type { CrashLimits, CrashRecords } from '../crashes/BendfallRouterCrashRecords.js'
 import { DEFAULT_CREDENTIAL_LIMITS } from '../customers/BendfallRouterCustomers.js'
 import type { CredentialLimits, CustomerIndex } from '../customers/BendfallRouterCustomers.js'
+import type { ReplicaLimits } from '../limits/BendfallRouterReplicaLimits.js'
 import type { ReplicaNotices } from '../notices/BendfallRouterNotices.js'
 import type { PoolWork } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
@@ -19,6 +20,7 @@
 import type { DepartedReplica } from './BendfallRouterDeparted.js'
 import type { CallerWaits } from './BendfallRouterCallerWaits.js'
 import type { Arrival } from './BendfallRouterEvents.js'
+import type { RecentSends } from './BendfallRouterRecentSends.js'
 import type { RunOutcomes } from './BendfallRouterRefusals.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 
@@ -41,6 +43,8 @@
   loadAtMs: number
   /** Requests of this process that run there. */
   inFlight: number
+  /** Sends of the last second. */
+  readonly recentSends: RecentSends
   /** Tokens that this process booked there since the last load. */
   bookedSinceLoad: number
   /** Tokens of this process whose requests run there, for when no ledger answers. */
@@ -126,6 +130,12 @@
   readonly budgets: Map<string, RetryBudget>
   /** What replicas said of themselves. */
   readonly notices: ReplicaNotices
+  /** Limits that replicas name, with permits for sends to them. */
+  readonly limits: ReplicaLimits
+  /** Keys of the requests that wait for a permit. */
+  readonly permitWaiters: Set<string>
+  /** When the last caller is to return that was refused for want of a permit, by service. */
+  readonly permitReturns: Map<string, number>
   /** Headers in which replicas said what is not decoded, with the replica. */
   readonly undecoded: Set<string>
   /** Replicas that crashed, and the requests they ran. */
@@ -191,6 +201,9 @@
     budgetLimits,
     budgets: new Map(),
     notices: new Map(),
+    limits: new Map(),
+    permitWaiters: new Set(),
+    permitReturns: new Map(),
     undecoded: new Set(),
     crashes: createCrashRecords(crashLimits),
     runOutcomes: new Map(),
--- a/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
+++ b/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
@@ -6,12 +6,16 @@
  * @module
  */
 
+import type { LimitWord } from '../limits/BendfallRouterReplicaLimits.js'
+
 /** What the head of an answer says of its replica. */
 export interface ReplicaNotice {
   /** The replica leaves. */
   readonly isLeaving: boolean
   /** Time for which it wants no request; absent: it did not say. */
   readonly backoffMs?: number
+  /** Of a limit on the requests of all entries; absent: nothing is said either way. */
+  readonly limit?: LimitWord
   /** Names of headers in which it said more that nobody decodes; absent: none. */
   readonly undecoded?: readonly string[]
 }
