Wait for a permit only where no replica is open

What callers would have seen: a summary waited for a permit, and was refused, although a decode replica without a limit was open, since the step of the queue asked for limited replicas alone. Found by a test of the reducer, which failed before. Plain calls were not concerned: they look for a replica first.

--- a/packages/bendfall-router/src/entry/BendfallRouterRateLimit.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRateLimit.ts
@@ -12,7 +12,7 @@
 import { addToldLimit, createAsk, createLiftedAsk, forgetLimits, hasPermit, returnPermit, takeLimitWord, takePermits, usePermit } from '../limits/BendfallRouterReplicaLimits.js'
 import type { LimitChange, LimitWord, ReplicaLimit } from '../limits/BendfallRouterReplicaLimits.js'
 import { backoffLeftMs } from '../notices/BendfallRouterNotices.js'
-import { isLeaving, stageOf } from './BendfallRouterBelief.js'
+import { isLeaving, stageOf, usableReplicas } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { draw, logDecision } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
@@ -241,9 +241,9 @@
  */
 export function awaitPermit (context: RouterContext, request: RequestState, stage: ReplicaStage, step: PermitStep): { readonly next: NextStep } | undefined {
   const { nowMs, state } = context
-  if (state.limits.size === 0) return undefined
+  if (state.limits.size === 0 || usableReplicas(context, request, stage).length > 0) return undefined
   const limited = limitedReplicas(context, request, stage)
-  if (limited.length === 0 || limited.some(({ limit }) => hasPermit(limit, nowMs))) return undefined
+  if (limited.length === 0) return undefined
   const soonest = limited.reduce((best, one) => freeAtMs(one.limit, nowMs) < freeAtMs(best.limit, nowMs) ? one : best)
   const perS = limited.reduce((sum, { limit }) => sum + limit.perS / limit.entries, 0)
   if (mayWait(context, request, freeAtMs(soonest.limit, nowMs), perS)) {
