Pass a failed answer on where no other replica can be asked

What callers would have seen: a replica's own failure was given up for a second try that no replica was there for, and they got a refusal of the router's own, 503 although the request had run. With replicas that name limits this becomes frequent. Test: 'a failed answer is passed on where no other replica has a permit', which fails without.

--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -67,6 +67,11 @@
   return undefined
 }
 
+// Without another replica a retry would give up an answer that is ready.
+function hasOther (context: RouterContext, request: RequestState): boolean {
+  return usableReplicas(context, request, stageFor(request)).some(({ replica }) => replica.replicaId !== request.runAt)
+}
+
 function withoutReplica (context: RouterContext, request: RequestState): NextStep {
   const stage = stageFor(request)
   const limited = awaitPermit(context, request, stage, 'plain')
@@ -93,7 +98,7 @@
   if (belief !== undefined && isFailure) noteFailure(belief, context.nowMs)
   if (belief !== undefined) noteAnswered(belief, request)
   if (belief !== undefined && !isFailure) noteSuccess(belief, context.nowMs - (request.runSentAtMs ?? context.nowMs))
-  if (isFailure && !request.isCommitted && takeRetry(context, request, 'unknown')) return sendElsewhere(context, request, 'failed_answer')
+  if (isFailure && !request.isCommitted && hasOther(context, request) && takeRetry(context, request, 'unknown')) return sendElsewhere(context, request, 'failed_answer')
   const replica = request.runAt
   leaveRun(context, request)
   context.effects.push({ type: 'deliver', key: request.key })
