--- a/packages/bendfallctl/src/BendfallctlExplain.ts
+++ b/packages/bendfallctl/src/BendfallctlExplain.ts
@@ -20,7 +20,7 @@
 
 /** Lines of a request that tell what went wrong before its end. */
 const TROUBLES: ReadonlySet<string> = new Set([
-  'crash_cause', 'memory_occupied', 'prefill_failed', 'prefill_slot_refused', 'prefill_slot_unreachable', 'reservation_refused', 'reservation_unreachable', 'retried', 'run_failed', 'try_timed_out', 'units_refused'
+  'crash_cause', 'memory_occupied', 'permits_lacking', 'prefill_failed', 'prefill_slot_refused', 'prefill_slot_unreachable', 'reservation_refused', 'reservation_unreachable', 'retried', 'run_failed', 'try_timed_out', 'units_refused'
 ])
 
 /** Ends of a request without its whole answer. */
