Begin the bucket of a limit with the duty of its keeper, and forget crowds that are gone

The entry knew limits of 0.2 a second from the document, nobody had sent anything since, and the keeper began an empty bucket with the first ask, five seconds from its first permit. And entries that were told to wait are no longer counted beyond the longest wait: after a crowd a lone entry was told to wait two seconds for each permit (test fails without).

--- a/packages/bendfall-router/src/limits/BendfallRouterPermitKeeper.ts
+++ b/packages/bendfall-router/src/limits/BendfallRouterPermitKeeper.ts
@@ -107,7 +107,7 @@
 const FAR_OVER = 1.5
 
 /** Sends without a permit that need not be held back, beside those of two seconds: permits of a window leave room for them. */
-const UNHELD_SENDS = 4
+const UNHELD_SENDS = 2
 const UNHELD_S = 2
 
 /** Entries are counted by spans of this. */
@@ -163,7 +163,10 @@
 function take (bucket: TokenBucket, bounds: BucketLimit, wanted: number, nowMs: number): { readonly permits: number, readonly nextInMs: number } {
   if (wanted < 1) return { permits: 0, nextInMs: 0 }
   const first = takeUnits(bucket, bounds, 1, nowMs)
-  if (first.type === 'refused') return { permits: 0, nextInMs: Math.min(first.retryAfterMs, Math.max(LONGEST_WAIT_MS, MS_PER_SECOND / bounds.unitsPerS)) }
+  const longestMs = Math.max(LONGEST_WAIT_MS, MS_PER_SECOND / bounds.unitsPerS)
+  // Entries that were told a later time ask sooner: what was promised beyond does not keep others waiting.
+  bucket.returnsUntilMs = Math.min(bucket.returnsUntilMs, nowMs + longestMs)
+  if (first.type === 'refused') return { permits: 0, nextInMs: Math.min(first.retryAfterMs, longestMs) }
   const most = Math.max(1, Math.ceil(bounds.unitsPerS * LEASED_AT_ONCE_S))
   const further = Math.min(wanted - 1, most - 1, Math.floor(bucket.units))
   bucket.units -= Math.max(0, further)
@@ -174,7 +177,7 @@
   return { unitsPerS: Math.max(LEAST_PER_S, perS), burstUnits: BURST_PERMITS + perS * BURST_S }
 }
 
-function limitOf ({ limits }: PermitKeeper, { processName }: PermitAsk, nowMs: number): KeptLimit {
+function limitOf ({ limits, sinceMs }: PermitKeeper, { processName }: PermitAsk, nowMs: number): KeptLimit {
   const known = limits.get(processName)
   // In the order of the last asks, so that those that nobody asks for are first.
   limits.delete(processName)
@@ -182,7 +185,8 @@
   const limit = known ?? {
     heardAtMs: -Infinity,
     askedAtMs: nowMs,
-    bucket: createBucket(NO_BURST, nowMs),
+    // Nothing was leased of it since the duty began.
+    bucket: createBucket(NO_BURST, sinceMs),
     sentBefore: 0,
     sentBeforeSinceMs: -Infinity,
     entries: new Set<string>(),
@@ -207,8 +211,6 @@
   const heardAtMs = nowMs - heardAgoMs
   const isLooser = (perS ?? Infinity) > (limit.perS ?? Infinity)
   if (heardAtMs <= limit.heardAtMs || (isLooser && nowMs - sentAgoMs <= limit.heardAtMs)) return
-  // The bucket of a limit that is named anew is empty, as that of a first one.
-  if (limit.perS === undefined) Object.assign(limit.bucket, createBucket(NO_BURST, nowMs))
   limit.perS = perS
   limit.heardAtMs = heardAtMs
 }
