Wait for a keeper that is slow where no other can grant

What callers saw: within their allotment and refused with allotment_unknown, since the keeper took longer than 80 ms and the reserve could not tell. Cause: an ask was given up for good after 80 ms, and for 250 ms the keeper was not asked at all. The reserve is still asked after 80 ms; the keeper's answer is waited for meanwhile, 250 ms at most, and used where the reserve can't grant or there is none; a late grant that is known and not needed is given back.

--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
@@ -9,10 +9,11 @@
 import type { KeyValueEntry, KeyValuePort } from 'bendfall-platform'
 import { AllotmentService } from 'bendfall-protocol'
 import { ALLOTMENT_ROLES } from 'bendfall-router'
-import type { AllotmentBounds, AllotmentRole, Customer, RouterEffect, RouterEffectOf, RouterEvent, UnitsOutcome } from 'bendfall-router'
+import type { AllotmentBounds, AllotmentRole, Customer, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
 import { createKeeperClient } from '../peer/BendfallEdgeKeeperClient.js'
 import type { KeeperClient } from '../peer/BendfallEdgeKeeperClient.js'
 import type { KeeperPlace } from '../peer/BendfallEdgeKeeperPlace.js'
+import { createAllotmentAsks } from './BendfallEdgeAllotmentAsks.js'
 import { keyOfRole } from './BendfallEdgeAllotmentDocument.js'
 import { joinAllotmentDuties } from './BendfallEdgeAllotmentDuty.js'
 import type { UnitsAsk } from './BendfallEdgeAllotmentDuty.js'
@@ -81,14 +82,7 @@
     if (ALLOTMENT_ROLES.some((role) => clients[role].place() === undefined)) duties.look()
   }
 
-  async function take (ask: UnitsAsk): Promise<UnitsOutcome> {
-    if (duties.holds(ask.role)) return duties.take(ask)
-    // Whether one that does not answer granted them is not known: given back, units that it refused would be granted beyond the limit.
-    const answer = await clients[ask.role].ask((session, options) => callUnary(session, AllotmentService.method.take, toMessage(ask), options))
-    if (answer === undefined) return { type: 'unreachable' }
-    if (!answer.certain) return { type: 'uncertain' }
-    return answer.granted ? { type: 'granted' } : { type: 'refused', retryAfterMs: answer.retryAfterMs }
-  }
+  const asks = createAllotmentAsks({ clock: loop.clock, clients, takeHere: (ask) => duties.holds(ask.role) ? duties.take(ask) : undefined, giveBack })
 
   // Lost, it costs its customer some units of one window.
   function giveBack (ask: UnitsAsk): void {
@@ -115,8 +109,8 @@
   ])
 
   async function answerTake ({ attempt, customer, key, role, units }: RouterEffectOf<'take_units'>): Promise<void> {
-    const ask = { role, customer, units }
-    loop.dispatch({ type: 'units_answered', key, attempt, ...ask, outcome: await take(ask) })
+    const answer = await asks.take(key, { role, customer, units })
+    loop.dispatch({ type: 'units_answered', key, attempt, customer, units, ...answer })
   }
 
   return {
--- a/packages/bendfall-edge/src/peer/BendfallEdgeKeeperClient.ts
+++ b/packages/bendfall-edge/src/peer/BendfallEdgeKeeperClient.ts
@@ -10,11 +10,11 @@
 import type { KeeperPlace } from './BendfallEdgeKeeperPlace.js'
 import { createPeerSession } from './BendfallEdgePeerSession.js'
 
-/** A keeper that takes longer is asked no more for this request: the calls with the nearest targets wait for it. */
+/** A keeper that takes longer counts as slow, and an ask is given up then unless it says otherwise. */
 const ASK_TIMEOUT_MS = 80
 
-/** After an ask without an answer the next ones are not made, for so long. */
-const AVOIDED_MS = 250
+/** While a keeper is slow it is not asked, for so long. */
+const PAUSE_MS = 250
 
 /** What a client needs. */
 export interface KeeperClientOptions {
@@ -29,6 +29,14 @@
 /** Makes one call over a connection to the keeper, given up after a time. */
 export type KeeperCall<T> = (session: AnsweringSessionManager, options: { readonly timeoutMs: number }) => Promise<T>
 
+/** How long an ask may take. */
+export interface KeeperAskOptions {
+  /** The answer is waited for so long. */
+  readonly longestMs?: number
+  /** Whether a slow keeper is asked all the same. */
+  readonly ignoresPause?: boolean
+}
+
 /** Way to a keeper. */
 export interface KeeperClient {
   /** @returns the keeper by the last word of the key-value service */
@@ -40,7 +48,7 @@
    */
   readonly learn: (present: readonly KeyValueEntry[], goneKeys: readonly string[]) => boolean
   /** @returns the keeper's answer; undefined when there is none in time, or no other entry to ask */
-  readonly ask: <T>(call: KeeperCall<T>) => Promise<T | undefined>
+  readonly ask: <T>(call: KeeperCall<T>, options?: KeeperAskOptions) => Promise<T | undefined>
   /** Tells the keeper what needs no answer. */
   readonly tell: (call: KeeperCall<unknown>) => void
   readonly close: () => void
@@ -49,7 +57,7 @@
 interface Keeper {
   readonly place: KeeperPlace
   readonly session: AnsweringSessionManager
-  avoidedUntilMs: number
+  pausedUntilMs: number
 }
 
 /**
@@ -64,7 +72,7 @@
   function set (place: KeeperPlace | undefined): boolean {
     if (keeper?.place.address === place?.address && keeper?.place.instanceId === place?.instanceId) return false
     keeper?.session.abort()
-    keeper = place === undefined ? undefined : { place, session: createPeerSession(place.address), avoidedUntilMs: -Infinity }
+    keeper = place === undefined ? undefined : { place, session: createPeerSession(place.address), pausedUntilMs: -Infinity }
     logger.info('keeper', { key, keeper: place?.instanceId })
     return true
   }
@@ -77,18 +85,26 @@
     return set(place.unwrapOr(undefined))
   }
 
-  async function ask <T> (call: KeeperCall<T>): Promise<T | undefined> {
+  async function ask <T> (call: KeeperCall<T>, { ignoresPause = false, longestMs = ASK_TIMEOUT_MS }: KeeperAskOptions = {}): Promise<T | undefined> {
     const asked = keeper
-    if (asked === undefined || asked.place.instanceId === own.instanceId || asked.avoidedUntilMs > clock.nowMs()) return undefined
+    if (asked === undefined || asked.place.instanceId === own.instanceId) return undefined
+    if (asked.pausedUntilMs > clock.nowMs() && !ignoresPause) return undefined
+    const cancelPause = clock.callAt(clock.nowMs() + ASK_TIMEOUT_MS, () => pause(asked))
     try {
-      return await withTimeout(call(asked.session, { timeoutMs: ASK_TIMEOUT_MS }), ASK_TIMEOUT_MS)
+      return await withTimeout(call(asked.session, { timeoutMs: longestMs }), longestMs)
     } catch (error) {
       logger.warn('keeper_unreachable', { key, keeper: asked.place.instanceId, error })
-      asked.avoidedUntilMs = clock.nowMs() + AVOIDED_MS
+      pause(asked)
       return undefined
+    } finally {
+      cancelPause()
     }
   }
 
+  function pause (asked: Keeper): void {
+    asked.pausedUntilMs = clock.nowMs() + PAUSE_MS
+  }
+
   function tell (call: KeeperCall<unknown>): void {
     if (keeper === undefined) return
     const { place, session } = keeper
