Lease one permit of each limit when the duty of its keeper begins

One permit at the begin of a duty tells whether a small limit still holds; three new keepers within one window add three requests, which the bound has room for (4.6 of 6 times the rate and 5).

--- a/packages/bendfall-router/src/limits/BendfallRouterPermitKeeper.ts
+++ b/packages/bendfall-router/src/limits/BendfallRouterPermitKeeper.ts
@@ -92,6 +92,9 @@
 /** Of a bucket whose limit is told with each use. */
 const NO_BURST: BucketLimit = { unitsPerS: 0, burstUnits: 0 }
 
+/** Permits of a limit that are free when the duty begins, so that it is heard of soon whether a small one still holds. */
+const FIRST_PERMITS = 1
+
 /** Permits of so long are leased at once, one at least, so that one entry does not take all. */
 const LEASED_AT_ONCE_S = 0.2
 
@@ -186,7 +189,7 @@
     heardAtMs: -Infinity,
     askedAtMs: nowMs,
     // Nothing was leased of it since the duty began.
-    bucket: createBucket(NO_BURST, sinceMs),
+    bucket: { ...createBucket(NO_BURST, sinceMs), units: FIRST_PERMITS },
     sentBefore: 0,
     sentBeforeSinceMs: -Infinity,
     entries: new Set<string>(),
