Give learning, permits and waits for them a module each

Also: a request that waited for a permit of a replica which went meanwhile would have waited until its deadline, and a permit that a run carried for too long was lost to its replica. Tests for both; the first failed before by reading only, the former module is not kept to play it.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterRateLimit.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterRateLimit.test.ts
@@ -149,6 +149,27 @@
   assert.is(only(world.send(arrival('k1', PATH)), 'send_run').replicaId, 'a2')
 })
 
+test('a call that waits for a permit goes on when its replica is gone meanwhile', () => {
+  const world = createWorld([plainRoute()], [PLAIN[0] as (typeof PLAIN)[number]])
+  answer(world, speak(world, 'a1', named(5)), leased(0))
+  world.wait(250)
+  const asked = world.send(arrival('k1', PATH))
+  world.send({ type: 'replicas_changed', present: [], gone: ['a1'] })
+  assert.is(only(answer(world, asked, leased(0)), 'refuse').reason, 'no_replica')
+})
+
+test('a run whose permit is too old to be used takes another one', () => {
+  const world = modelWorld()
+  answer(world, speak(world, 'd1', named(5)), leased(1))
+  const reserve = only(world.send(arrival('k1')), 'reserve')
+  world.wait(1_200)
+  const read = only(world.send({ type: 'reserve_answered', key: 'k1', attempt: reserve.attempt, outcome: { type: 'granted' } }), 'send_prefill')
+  const confirm = only(world.send({ type: 'prefill_answered', key: 'k1', attempt: read.attempt, outcome: { type: 'read', handle: 'h1' } }), 'confirm')
+  const effects = world.send({ type: 'confirm_answered', key: 'k1', attempt: confirm.attempt, outcome: 'free' })
+  assert.is(only(effects, 'reserve').replicaId, 'd2')
+  assert.is(only(effects, 'ask_permits').ask.returned, 1)
+})
+
 test('a suspended process drops its permits', () => {
   const world = plainWorld()
   answer(world, speak(world, 'a1', named(5)), leased(2))
--- a/packages/bendfall-router/src/entry/BendfallRouterHold.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterHold.ts
@@ -10,7 +10,7 @@
 import { noteFailure } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
-import { mayTell } from './BendfallRouterRateLimit.js'
+import { mayTell } from './BendfallRouterPermits.js'
 import type { HoldOutcome } from './BendfallRouterEvents.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -9,7 +9,7 @@
 import type { PoolMember, StageChange } from '../pools/BendfallRouterPoolBalance.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import { isOpen } from './BendfallRouterNotice.js'
-import { takePermit } from './BendfallRouterRateLimit.js'
+import { takePermit } from './BendfallRouterPermits.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterEventOf } from './BendfallRouterEvents.js'
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -20,7 +20,8 @@
 import { startQueue, takeQueueAnswer } from './BendfallRouterPrefillQueue.js'
 import { startConfirm, takeConfirmAnswer } from './BendfallRouterConfirm.js'
 import { forgetReplica, learnForeign, learnReplica, noteMissing } from './BendfallRouterRegistrations.js'
-import { endPermitWait, forgetOldLimits, takePermitsAnswer, takeToldLimits } from './BendfallRouterRateLimit.js'
+import { takePermitWaiters } from './BendfallRouterPermitWait.js'
+import { forgetOldLimits, takePermitsAnswer, takeToldLimits } from './BendfallRouterReplicaLimit.js'
 import { learnReadSpeed } from './BendfallRouterReading.js'
 import { noteRun } from './BendfallRouterRefusals.js'
 import { startReserve, takeHoldAnswer, takeReserveAnswer } from './BendfallRouterReserve.js'
@@ -108,10 +109,8 @@
     phase === 'loads' && afterLoads !== undefined ? { type: afterLoads } : undefined),
   order_answered: takeOrderAnswer,
   permits_answered: (context, event) => {
-    for (const { request, step } of takePermitsAnswer(context, event)) {
-      endPermitWait(context, request)
-      advance(context, request, { type: step })
-    }
+    takePermitsAnswer(context, event)
+    for (const { request, step } of takePermitWaiters(context, event.replicaId)) advance(context, request, { type: step })
   },
   prefill_answered: (context, event) => inPhase(context, event, 'prefill', (request) =>
     takePrefillAnswer(context, request, event.outcome, handleTtlMs(context.state, request))),
--- a/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReserve.ts
@@ -16,7 +16,8 @@
 import type { MemoryOption } from './BendfallRouterMemoryOptions.js'
 import { isOpen, refuseBackoff } from './BendfallRouterNotice.js'
 import { planPrefill } from './BendfallRouterPrefillPlan.js'
-import { awaitPermit, carryPermit, takePermit, wantPermits } from './BendfallRouterRateLimit.js'
+import { awaitPermit } from './BendfallRouterPermitWait.js'
+import { carryPermit, takePermit, wantPermits } from './BendfallRouterPermits.js'
 import { canReadNow, FIRST_EVENT_MS, readInPlaceMs } from './BendfallRouterReading.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 
