Hear of a limit through the ledger beside a replica

A model replica names its limit in the answers to reports as well, which the sidecar beside it reads several times a second; an entry that had sent nothing there yet did not hear of it. Loads tell it now, as they tell that a replica leaves. Test of the reducer: fails without.

--- a/packages/bendfall-edge/src/BendfallEdgeDialect.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeDialect.ts
@@ -108,6 +108,8 @@
   readonly isSwitching: boolean
   /** Whether the replica says that it leaves. */
   readonly isLeaving: boolean
+  /** Requests a second that it takes from all entries together; absent: it names no limit. */
+  readonly limitPerS?: number
   readonly runs: readonly EngineRun[]
 }
 
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
@@ -46,6 +46,7 @@
     stage: STAGES.has(message.stage) ? message.stage as ReplicaStage : undefined,
     isHealthy: message.healthy,
     isLeaving: message.leaving,
+    limitPerS: message.limitPerS,
     capacityTokens: message.capacityTokens,
     roomTokens: message.roomTokens,
     backlogTokens: message.backlogTokens
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerServer.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerServer.ts
@@ -71,9 +71,9 @@
     waiting.delete(bookingId)
   })
 
-  function toLoad (): { stage: string, healthy: boolean, leaving: boolean, capacityTokens: number, roomTokens: number[], backlogTokens: number } {
+  function toLoad (): { stage: string, healthy: boolean, leaving: boolean, limitPerS: number | undefined, capacityTokens: number, roomTokens: number[], backlogTokens: number } {
     const load = loadOf(state, '', clock.nowMs())
-    return { stage: load.stage ?? '', healthy: load.isHealthy, leaving: load.isLeaving === true, capacityTokens: load.capacityTokens, roomTokens: [...load.roomTokens], backlogTokens: load.backlogTokens }
+    return { stage: load.stage ?? '', healthy: load.isHealthy, leaving: load.isLeaving === true, limitPerS: load.limitPerS, capacityTokens: load.capacityTokens, roomTokens: [...load.roomTokens], backlogTokens: load.backlogTokens }
   }
 
   function ask (request: ReserveMemoryRequest, signal: AbortSignal): Promise<LedgerAnswer> {
--- a/packages/bendfall-router/src/BendfallRouterTypes.ts
+++ b/packages/bendfall-router/src/BendfallRouterTypes.ts
@@ -144,6 +144,8 @@
   readonly isHealthy: boolean
   /** Whether the replica says that it leaves; absent: its ledger does not tell. */
   readonly isLeaving?: boolean
+  /** Requests a second that the replica takes from all entries together; absent: it names no limit. */
+  readonly limitPerS?: number
   readonly capacityTokens: number
   /** Smallest room from each of {@link ROOM_HORIZONS_MS} on, queue included. */
   readonly roomTokens: readonly number[]
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterRateLimit.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterRateLimit.test.ts
@@ -170,6 +170,12 @@
   assert.is(only(effects, 'ask_permits').ask.returned, 1)
 })
 
+test('a limit that a replica names to its ledger binds before the first answer to this entry', () => {
+  const world = modelWorld()
+  world.send({ type: 'load_learned', load: { ...loadOf('d1', 'decode', 30_000), limitPerS: 5 } })
+  assert.is(only(world.send(arrival('k1')), 'reserve').replicaId, 'd2')
+})
+
 test('a suspended process drops its permits', () => {
   const world = plainWorld()
   answer(world, speak(world, 'a1', named(5)), leased(2))
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { nameProcess } from '../crashes/BendfallRouterCrashRecords.js'
 import { indexCustomers } from '../customers/BendfallRouterCustomers.js'
 import { giveBackOrphan, startAllotment, takeUnitsAnswer } from './BendfallRouterAllotment.js'
 import { admit, dropHeld, takeHeld } from './BendfallRouterArrival.js'
@@ -103,6 +104,7 @@
     belief.loadAtMs = event.atMs
     belief.bookedSinceLoad = 0
     belief.prefillSinceLoad = 0
+    if (event.load.limitPerS !== undefined) takeToldLimits(context, { limits: [{ processName: nameProcess(belief.replica), perS: event.load.limitPerS }] })
     if (event.load.isLeaving === true) takeReplicaNotice(context, { replicaId: event.load.replicaId, notice: { isLeaving: true } })
   },
   loads_answered: (context, event) => withAttempt(context, event, ({ afterLoads, phase }) =>
--- a/packages/bendfall-router/src/entry/BendfallRouterReplicaLimit.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReplicaLimit.ts
@@ -70,12 +70,12 @@
 }
 
 /**
- * Takes limits that other entries have heard of.
+ * Takes limits that other entries have heard of, or the ledger beside a replica.
  *
  * @param context - of the event
  * @param event - the limits
  */
-export function takeToldLimits (context: RouterContext, { limits }: RouterEventOf<'limits_told'>): void {
+export function takeToldLimits (context: RouterContext, { limits }: Pick<RouterEventOf<'limits_told'>, 'limits'>): void {
   const { nowMs, state } = context
   for (const told of limits) {
     const replicaId = readReplicaId(told.processName)
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedger.ts
@@ -95,6 +95,7 @@
     stage: state.report?.isSwitching === true ? undefined : state.report?.stage,
     isHealthy: state.isHealthy && state.report?.isSwitching !== true,
     isLeaving: state.report?.isLeaving === true,
+    limitPerS: state.report?.limitPerS,
     capacityTokens: forecast.capacityTokens,
     roomTokens: roomByHorizon(forecast, freeTokens(state, nowMs)).map((room) => Math.floor(room - waitingTokens)),
     backlogTokens: backlogTokens(state, nowMs)
--- a/packages/bendfall-router/src/ledger/BendfallRouterLedgerState.ts
+++ b/packages/bendfall-router/src/ledger/BendfallRouterLedgerState.ts
@@ -27,6 +27,8 @@
   readonly isSwitching: boolean
   /** Whether the replica says that it leaves; absent: it does not tell. */
   readonly isLeaving?: boolean
+  /** Requests a second that the replica takes from all entries together; absent: it names no limit. */
+  readonly limitPerS?: number
   readonly runs: readonly ReportedRun[]
 }
 
