Know when the duty of the limits was held last without being asked

The keeper's lease had just lapsed, since the store did not answer in time beside a load of 24, and it counted the ten seconds for which it may go on from the last ask, 15 s before, in place of its lease. The election tells now when the duty was held last. Tests of the duty in virtual time; the one of a store that is away, after a minute without an ask, failed before.

--- a/packages/bendfall-edge/src/limits/BendfallEdgePermitDuty.ts
+++ b/packages/bendfall-edge/src/limits/BendfallEdgePermitDuty.ts
@@ -65,7 +65,7 @@
   const election = joinElection({ port, clock, logger, key: PERMITS_KEY, holder: encodeKeeper(own), timing: TIMING, takesOverOwn: true, newsOf })
   const news = createLimitNews({ port, clock, logger })
   let keeper: PermitKeeper | undefined
-  let heldAtMs = -Infinity
+  let isLeft = false
   let cancelLook: Teardown = () => {}
 
   function newsOf (): HolderNews {
@@ -74,16 +74,13 @@
     return place === undefined && clock.nowMs() < mayLookAtMs ? 'left_alone' : 'free'
   }
 
-  // What another process leased under the duty before is not known, so that each time begins with nothing to lease.
+  // What another process leased under the duty before is not known, so that each time begins anew.
   function shareNow (): number {
-    const sinceMs = election.heldSinceMs()
-    if (sinceMs !== undefined) {
-      heldAtMs = clock.nowMs()
-      if (keeper?.sinceMs !== sinceMs) keeper = createPermitKeeper(sinceMs)
-      return 1
-    }
-    const isLapsed = keeper !== undefined && placeOf()?.instanceId === own.instanceId && clock.nowMs() - heldAtMs < LAPSED_MS
-    return isLapsed ? LAPSED_SHARE : 0
+    const span = election.lastHeld()
+    if (span === undefined || isLeft) return 0
+    if (keeper?.sinceMs !== span.sinceMs) keeper = createPermitKeeper(span.sinceMs)
+    if (election.fence() !== undefined) return 1
+    return placeOf()?.instanceId === own.instanceId && clock.nowMs() - span.untilMs < LAPSED_MS ? LAPSED_SHARE : 0
   }
 
   function lease (ask: PermitAsk): PermitOutcome {
@@ -102,6 +99,6 @@
       cancelLook = clock.callAt(clock.nowMs() + Math.random() * SPREAD_MS, election.look)
     },
     holds: () => election.fence() !== undefined,
-    close: combineTeardowns([() => cancelLook(), () => { keeper = undefined }, news.close, election.close])
+    close: combineTeardowns([() => cancelLook(), () => { isLeft = true }, news.close, election.close])
   }
 }
--- a/packages/bendfall-edge/src/pools/BendfallEdgeHolderLease.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgeHolderLease.ts
@@ -46,12 +46,21 @@
   readonly longestLookMs: number
 }
 
+/** Time for which a process held a duty, monotonic. */
+export interface HeldSpan {
+  readonly sinceMs: number
+  /** When its lease lapsed, or will unless it is renewed. */
+  readonly untilMs: number
+}
+
 /** Part in an election. */
 export interface HolderLease {
   /** @returns the fencing token while this process holds the duty */
   readonly fence: () => number | undefined
   /** @returns monotonic time since which this process holds the duty; undefined while it doesn't */
   readonly heldSinceMs: () => number | undefined
+  /** @returns when this process held the duty last, which may be now; undefined when it never did */
+  readonly lastHeld: () => HeldSpan | undefined
   /** Gives the duty up at once, since another process has it. */
   readonly giveUp: () => void
   /** Looks at the key now, since news came of it. */
@@ -96,6 +105,7 @@
   const ended = new AbortController()
   const wanted = createSignal(clock)
   let held: Held | undefined
+  let lastHeld: HeldSpan | undefined
   let lookMs = firstLookMs
   let eras = 0
   const formerHolders = watchFormerHolders({ port, clock, key, leaseMs })
@@ -144,6 +154,7 @@
       return
     }
     held = { leaseId: lease.leaseId, fence, sinceMs: clock.nowMs(), valid: validFrom(asked) }
+    noteHeld(held)
     logger.info('duty_taken', { key, fence })
   }
 
@@ -156,8 +167,10 @@
   async function renew (own: Held): Promise<void> {
     const asked = readClocks()
     const outcome = await port.renewLease(own.leaseId)
-    if (outcome.type === 'granted') own.valid = validFrom(asked)
-    else if (outcome.type === 'lapsed') lose('lease lapsed')
+    if (outcome.type === 'granted') {
+      own.valid = validFrom(asked)
+      noteHeld(own)
+    } else if (outcome.type === 'lapsed') lose('lease lapsed')
     else if (!isValid(own)) lose(outcome.detail)
     if (outcome.type === 'granted') await formerHolders.settle()
   }
@@ -170,6 +183,10 @@
     }
   }
 
+  function noteHeld ({ sinceMs, valid }: Held): void {
+    lastHeld = { sinceMs, untilMs: valid.untilMs }
+  }
+
   // A lease that is not revoked lapses by itself.
   function free (own: Held | undefined): void {
     if (own !== undefined) port.revokeLease(own.leaseId).catch((error: unknown) => logger.warn('revoke_failed', { key, error }))
@@ -179,6 +196,7 @@
   return {
     fence: () => held !== undefined && isValid(held) ? held.fence : undefined,
     heldSinceMs: () => held !== undefined && isValid(held) ? held.sinceMs : undefined,
+    lastHeld: () => lastHeld,
     // The key goes as well: the next holder, this one too, has a higher fencing token.
     giveUp: () => {
       const own = held
