--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentAsks.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentAsks.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { callUnary } from 'bendfall-node'
-import type { Clock } from 'bendfall-node'
+import type { Clock, Logger } from 'bendfall-node'
 import { AllotmentService } from 'bendfall-protocol'
 import type { AllotmentRole, UnitsOutcome } from 'bendfall-router'
 import type { KeeperClient } from '../peer/BendfallEdgeKeeperClient.js'
@@ -29,6 +29,7 @@
 /** What asks need. */
 export interface AllotmentAskOptions {
   readonly clock: Clock
+  readonly logger: Logger
   readonly clients: Readonly<Record<AllotmentRole, KeeperClient>>
   /** @returns the outcome at this entry; undefined where it doesn't hold the duty */
   readonly takeHere: (ask: UnitsAsk) => UnitsOutcome | undefined
@@ -50,7 +51,7 @@
  * @param options - keepers
  * @returns the asks
  */
-export function createAllotmentAsks ({ clients, clock, giveBack, takeHere }: AllotmentAskOptions): AllotmentAsks {
+export function createAllotmentAsks ({ clients, clock, giveBack, logger, takeHere }: AllotmentAskOptions): AllotmentAsks {
   const late = new Map<string, Promise<UnitsOutcome>>()
 
   async function askKeeper (ask: UnitsAsk, longestMs: number, ignoresPause = false): Promise<UnitsOutcome> {
@@ -91,7 +92,8 @@
 
   // Without an answer it is not known whether they were granted: given back, units that were refused would be granted beyond the limit.
   function giveBackLate (key: string, ask: UnitsAsk): void {
-    takeLate(key)?.then((outcome) => { if (outcome.type === 'granted') giveBack(ask) }, () => {})
+    takeLate(key)?.then((outcome) => { if (outcome.type === 'granted') giveBack(ask) })
+      .catch((error: unknown) => logger.error('give_back_late_failed', { customer: ask.customer, error }))
   }
 
   function after (ms: number): Promise<undefined> {
--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotments.ts
@@ -82,7 +82,7 @@
     if (ALLOTMENT_ROLES.some((role) => clients[role].place() === undefined)) duties.look()
   }
 
-  const asks = createAllotmentAsks({ clock: loop.clock, clients, takeHere: (ask) => duties.holds(ask.role) ? duties.take(ask) : undefined, giveBack })
+  const asks = createAllotmentAsks({ clock: loop.clock, logger, clients, takeHere: (ask) => duties.holds(ask.role) ? duties.take(ask) : undefined, giveBack })
 
   // Lost, it costs its customer some units of one window.
   function giveBack (ask: UnitsAsk): void {
