Let the permit of a run hold for two seconds

The prompt took 706 ms and the confirmation 330 ms more, so that the permit which the run had taken with its reservation was 1,046 ms old, a second allowed; while another one was asked for, the result lapsed. Two seconds are as long as prompts of the users take with a margin; arrivals of a window then come from permits of six seconds, which the bound has room for (6.2 of 6 times the rate and 2 of 5 requests, for limits up to 15 a second).

--- a/packages/bendfall-router/src/entry/BendfallRouterPermits.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPermits.ts
@@ -14,7 +14,7 @@
 import type { ReplicaBelief } from './BendfallRouterState.js'
 
 /** A permit of a run that waits for its prompt to be read holds for so long. */
-const CARRIED_MS = 1_000
+const CARRIED_MS = 2_000
 
 /**
  * Asks for permits of the replicas that a request could use, as far as they lack.
