--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgePermitDuty.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgePermitDuty.test.ts
@@ -3,7 +3,7 @@
 import type { PermitAsk } from 'bendfall-router'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { LIMITS_KEY } from '../../limits/BendfallEdgeLimitNews.js'
+import { LIMITS_KEY } from '../../limits/BendfallEdgeLimitDocument.js'
 import { joinPermitDuty } from '../../limits/BendfallEdgePermitDuty.js'
 import type { PermitDuty } from '../../limits/BendfallEdgePermitDuty.js'
 import type { KeeperPlace } from '../../peer/BendfallEdgeKeeperPlace.js'
--- a/packages/bendfall-edge/src/limits/BendfallEdgeLimitNews.ts
+++ b/packages/bendfall-edge/src/limits/BendfallEdgeLimitDocument.ts
@@ -25,7 +25,7 @@
 
 const NO_REVISION = 0
 
-const NEWS_SCHEMA = {
+const LIMITS_SCHEMA = {
   type: 'object',
   required: ['limits'],
   properties: {
@@ -37,15 +37,15 @@
   }
 }
 
-/** News that the keeper tells. */
-export interface LimitNews {
+/** Writer of the document. */
+export interface LimitPublisher {
   /** Has the limits written, the newest ones if they change meanwhile. */
   readonly publish: (limits: readonly NamedLimit[]) => void
   readonly close: Teardown
 }
 
-/** What news need. */
-export interface LimitNewsOptions {
+/** What the writer needs. */
+export interface LimitPublisherOptions {
   readonly port: KeyValuePort
   readonly clock: Clock
   readonly logger: Logger
@@ -57,7 +57,7 @@
  * @param options - the service
  * @returns the writer
  */
-export function createLimitNews ({ clock, logger, port }: LimitNewsOptions): LimitNews {
+export function createLimitPublisher ({ clock, logger, port }: LimitPublisherOptions): LimitPublisher {
   const ended = new AbortController()
   let latest: string | undefined
   let isWriting = false
@@ -84,7 +84,7 @@
       latest = JSON.stringify({ limits: limits.slice(0, MOST_TOLD) })
       if (isWriting) return
       isWriting = true
-      writeLatest().catch((error: unknown) => logger.warn('limits_not_told', { error })).finally(() => { isWriting = false })
+      writeLatest().catch((error: unknown) => logger.warn('limits_not_published', { error })).finally(() => { isWriting = false })
     },
     close: () => ended.abort()
   }
@@ -96,7 +96,7 @@
  * @param text - JSON
  * @returns the limits, or what is wrong with the text
  */
-export function decodeLimitNews (text: string): Result<readonly NamedLimit[], string> {
-  const checked = parseDocument(text, LIMITS_KEY).andThen((document) => checkDocument<{ readonly limits: readonly NamedLimit[] }>(NEWS_SCHEMA, document, LIMITS_KEY))
+export function decodeLimits (text: string): Result<readonly NamedLimit[], string> {
+  const checked = parseDocument(text, LIMITS_KEY).andThen((document) => checkDocument<{ readonly limits: readonly NamedLimit[] }>(LIMITS_SCHEMA, document, LIMITS_KEY))
   return checked.map(({ limits }) => limits).mapErr((findings) => findings.map(({ expected, found, pointer }) => `${pointer}: expected ${expected}, found ${found}`).join('; '))
 }
--- a/packages/bendfall-edge/src/limits/BendfallEdgePermitDuty.ts
+++ b/packages/bendfall-edge/src/limits/BendfallEdgePermitDuty.ts
@@ -13,7 +13,7 @@
 import { encodeKeeper } from '../peer/BendfallEdgeKeeperPlace.js'
 import { joinElection } from '../pools/BendfallEdgeHolderLease.js'
 import type { HolderNews, LeaseTiming } from '../pools/BendfallEdgeHolderLease.js'
-import { createLimitNews } from './BendfallEdgeLimitNews.js'
+import { createLimitPublisher } from './BendfallEdgeLimitDocument.js'
 
 /** Key of the entry that keeps the limits. */
 export const PERMITS_KEY = 'bendfall/limits/keeper'
@@ -63,7 +63,7 @@
 export function joinPermitDuty ({ clock, logger, own, placeOf, port }: PermitDutyOptions): PermitDuty {
   const mayLookAtMs = clock.nowMs() + Math.random() * SPREAD_MS
   const election = joinElection({ port, clock, logger, key: PERMITS_KEY, holder: encodeKeeper(own), timing: TIMING, takesOverOwn: true, newsOf })
-  const news = createLimitNews({ port, clock, logger })
+  const publisher = createLimitPublisher({ port, clock, logger })
   let keeper: PermitKeeper | undefined
   let isLeft = false
   let cancelLook: Teardown = () => {}
@@ -88,7 +88,7 @@
     if (keeper === undefined || share === 0) return { type: 'unreachable' }
     const former = keeper.limits.get(ask.processName)?.perS
     const outcome = leasePermits(keeper, ask, clock.nowMs(), share)
-    if (keeper.limits.get(ask.processName)?.perS !== former) news.publish(namedLimits(keeper))
+    if (keeper.limits.get(ask.processName)?.perS !== former) publisher.publish(namedLimits(keeper))
     return outcome
   }
 
@@ -99,6 +99,6 @@
       cancelLook = clock.callAt(clock.nowMs() + Math.random() * SPREAD_MS, election.look)
     },
     holds: () => election.fence() !== undefined,
-    close: combineTeardowns([() => cancelLook(), () => { isLeft = true }, news.close, election.close])
+    close: combineTeardowns([() => cancelLook(), () => { isLeft = true }, publisher.close, election.close])
   }
 }
--- a/packages/bendfall-edge/src/limits/BendfallEdgePermits.ts
+++ b/packages/bendfall-edge/src/limits/BendfallEdgePermits.ts
@@ -12,7 +12,7 @@
 import type { PermitAsk, PermitOutcome, RouterEffect, RouterEffectOf, RouterEvent } from 'bendfall-router'
 import { createKeeperClient } from '../peer/BendfallEdgeKeeperClient.js'
 import type { KeeperPlace } from '../peer/BendfallEdgeKeeperPlace.js'
-import { decodeLimitNews, LIMITS_KEY } from './BendfallEdgeLimitNews.js'
+import { decodeLimits, LIMITS_KEY } from './BendfallEdgeLimitDocument.js'
 import { joinPermitDuty, PERMITS_KEY } from './BendfallEdgePermitDuty.js'
 
 /** What permits need. */
@@ -63,11 +63,11 @@
     loop.dispatch({ type: 'permits_answered', replicaId, ask, outcome })
   }
 
-  function learnNews (present: readonly KeyValueEntry[]): void {
+  function learnDocument (present: readonly KeyValueEntry[]): void {
     const entry = present.find(({ key }) => key === LIMITS_KEY)
     if (entry === undefined) return
-    const limits = decodeLimitNews(entry.value)
-    if (limits.isOk()) loop.dispatch({ type: 'limits_told', limits: limits.value })
+    const limits = decodeLimits(entry.value)
+    if (limits.isOk()) loop.dispatch({ type: 'limits_learned', limits: limits.value })
     else logger.warn('limits_unreadable', { key: LIMITS_KEY, revision: entry.revision, detail: limits.error })
   }
 
@@ -84,7 +84,7 @@
     },
     learn: (present, goneKeys) => {
       if (client.learn(present, goneKeys)) duty.look()
-      learnNews(present)
+      learnDocument(present)
     },
     holds: duty.holds,
     leave: duty.close,
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterRateLimit.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterRateLimit.test.ts
@@ -1,13 +1,13 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { LimitWord, PermitOutcome, RouterEffect } from '../../index.js'
+import type { LimitNotice, PermitOutcome, RouterEffect } from '../../index.js'
 import { arrival, createWorld, loadOf, modelWorld, only, plainRoute, replicaOf, summaryRoute, typesOf } from './RouterWorld.js'
 import type { RouterWorld } from './RouterWorld.js'
 
 const PLAIN = ['a1', 'a2'].map((id) => replicaOf(id, 'plain', { startedAtMs: 1 }))
 const PATH = '/rates/1'
 
-function named (perS: number): LimitWord {
+function named (perS: number): LimitNotice {
   return { type: 'named', perS }
 }
 
@@ -16,7 +16,7 @@
 }
 
 /** A replica answers something that was asked just now, or so long ago. */
-function speak (world: RouterWorld, replicaId: string, limit: LimitWord, sentAgoMs = 0): RouterEffect[] {
+function speak (world: RouterWorld, replicaId: string, limit: LimitNotice, sentAgoMs = 0): RouterEffect[] {
   return world.send({ type: 'replica_spoke', replicaId, notice: { isLeaving: false, limit }, sentAtMs: world.nowMs() - sentAgoMs })
 }
 
@@ -145,7 +145,7 @@
 
 test('limits that other entries heard of bind at once, those of other processes don\'t', () => {
   const world = plainWorld()
-  world.send({ type: 'limits_told', limits: [{ processName: 'a1/1', perS: 5 }, { processName: 'a2/7', perS: 5 }] })
+  world.send({ type: 'limits_learned', limits: [{ processName: 'a1/1', perS: 5 }, { processName: 'a2/7', perS: 5 }] })
   assert.is(only(world.send(arrival('k1', PATH)), 'send_run').replicaId, 'a2')
 })
 
--- a/packages/bendfall-router/src/__tests__/unit/LimitWorld.ts
+++ b/packages/bendfall-router/src/__tests__/unit/LimitWorld.ts
@@ -1,4 +1,4 @@
-import { createAsk, createBucket, createPermitKeeper, hasPermit, leasePermits, takeLimitWord, takePermits, takeUnits, usePermit } from '../../index.js'
+import { createAsk, createBucket, createPermitKeeper, hasPermit, leasePermits, takeLimitNotice, takePermits, takeUnits, usePermit } from '../../index.js'
 import type { BucketLimit, PermitAsk, PermitKeeper, PermitOutcome, ReplicaLimit, ReplicaLimits, TokenBucket } from '../../index.js'
 import { countSent, createRecentSends, noteRecentSend } from '../../entry/BendfallRouterRecentSends.js'
 import type { RecentSends } from '../../entry/BendfallRouterRecentSends.js'
@@ -193,7 +193,7 @@
     calls: keepers.calls,
     told: (entry) => {
       const limits = known[entry] as ReplicaLimits
-      takeLimitWord(limits, 'r', { type: 'named', perS: play.perS }, time.nowMs, time.nowMs)
+      takeLimitNotice(limits, 'r', { type: 'named', perS: play.perS }, time.nowMs, time.nowMs)
       const limit = limits.get('r') as ReplicaLimit
       limit.sentBefore = countSent(recent[entry], time.nowMs)
       if (limit.sentBefore > 0) ask(entry, limit)
--- a/packages/bendfall-router/src/entry/BendfallRouterEnd.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEnd.ts
@@ -10,7 +10,7 @@
 import { leaveUnits } from './BendfallRouterAllotment.js'
 import { noteUnanswered } from './BendfallRouterStalls.js'
 import { endPermitWait } from './BendfallRouterPermitWait.js'
-import { leavePermit, mayTell } from './BendfallRouterPermits.js'
+import { leavePermit, mayRelease } from './BendfallRouterPermits.js'
 import { leaveHold } from './BendfallRouterHold.js'
 import { leavePromises } from './BendfallRouterSend.js'
 import type { RequestState } from './BendfallRouterRequest.js'
@@ -87,7 +87,7 @@
   if (request.handle === undefined) return
   const { address, handle, replicaId } = request.handle
   // It lapses by itself where the replica wants no call, or takes no more.
-  if (mayTell(context, replicaId)) context.effects.push({ type: 'free_handle', address, handle })
+  if (mayRelease(context, replicaId)) context.effects.push({ type: 'free_handle', address, handle })
   request.handle = undefined
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -116,7 +116,7 @@
   /** A replica said something of itself in the head of an answer, whatever was asked; `sentAtMs`: when it was. */
   | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice, readonly sentAtMs?: number }
   /** Limits that other entries have heard of. */
-  | { readonly type: 'limits_told', readonly limits: readonly NamedLimit[] }
+  | { readonly type: 'limits_learned', readonly limits: readonly NamedLimit[] }
   /** Answer of the keeper of limits, or none. */
   | { readonly type: 'permits_answered', readonly replicaId: string, readonly ask: PermitAsk, readonly outcome: PermitOutcome }
   /** Answer to a check of a replica on which a connection was lost. */
--- a/packages/bendfall-router/src/entry/BendfallRouterHold.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterHold.ts
@@ -10,7 +10,7 @@
 import { noteFailure } from './BendfallRouterBelief.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
-import { mayTell } from './BendfallRouterPermits.js'
+import { mayRelease } from './BendfallRouterPermits.js'
 import type { HoldOutcome } from './BendfallRouterEvents.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaBelief } from './BendfallRouterState.js'
@@ -77,6 +77,6 @@
   if (request.hold === undefined) return
   const { replicaId, ...hold } = request.hold
   // It lapses by itself where the replica wants no call, or takes no more.
-  if (mayTell(context, replicaId)) context.effects.push({ type: 'drop_hold', ...hold })
+  if (mayRelease(context, replicaId)) context.effects.push({ type: 'drop_hold', ...hold })
   request.hold = undefined
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterPermits.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPermits.ts
@@ -55,7 +55,7 @@
  * @param replicaId - of the replica
  * @returns false where the replica wants no call, or takes no more
  */
-export function mayTell (context: RouterContext, replicaId: string): boolean {
+export function mayRelease (context: RouterContext, replicaId: string): boolean {
   const { nowMs, state } = context
   const belief = state.replicas.get(replicaId)
   if (belief === undefined) return true
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -22,7 +22,7 @@
 import { startConfirm, takeConfirmAnswer } from './BendfallRouterConfirm.js'
 import { forgetReplica, learnForeign, learnReplica, noteMissing } from './BendfallRouterRegistrations.js'
 import { takePermitWaiters } from './BendfallRouterPermitWait.js'
-import { forgetOldLimits, takePermitsAnswer, takeToldLimits } from './BendfallRouterReplicaLimit.js'
+import { forgetOldLimits, takePermitsAnswer, learnLimits } from './BendfallRouterReplicaLimit.js'
 import { learnReadSpeed } from './BendfallRouterReading.js'
 import { noteRun } from './BendfallRouterRefusals.js'
 import { startReserve, takeHoldAnswer, takeReserveAnswer } from './BendfallRouterReserve.js'
@@ -94,7 +94,7 @@
     belief.loadAtMs = -Infinity
     noteLedgerLost(belief, context.nowMs)
   },
-  limits_told: takeToldLimits,
+  limits_learned: learnLimits,
   load_learned: (context, event) => {
     const belief = context.state.replicas.get(event.load.replicaId)
     if (belief === undefined) return
@@ -104,7 +104,7 @@
     belief.loadAtMs = event.atMs
     belief.bookedSinceLoad = 0
     belief.prefillSinceLoad = 0
-    if (event.load.limitPerS !== undefined) takeToldLimits(context, { limits: [{ processName: nameProcess(belief.replica), perS: event.load.limitPerS }] })
+    if (event.load.limitPerS !== undefined) learnLimits(context, { limits: [{ processName: nameProcess(belief.replica), perS: event.load.limitPerS }] })
     if (event.load.isLeaving === true) takeReplicaNotice(context, { replicaId: event.load.replicaId, notice: { isLeaving: true } })
   },
   loads_answered: (context, event) => withAttempt(context, event, ({ afterLoads, phase }) =>
--- a/packages/bendfall-router/src/entry/BendfallRouterReplicaLimit.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReplicaLimit.ts
@@ -7,8 +7,8 @@
 import { nameProcess, readReplicaId } from '../crashes/BendfallRouterCrashRecords.js'
 import type { Replica, ReplicaStage } from '../BendfallRouterTypes.js'
 import type { PermitAsk } from '../limits/BendfallRouterPermitKeeper.js'
-import { addToldLimit, createAsk, createLiftedAsk, forgetLimits, takeLimitWord, takePermits } from '../limits/BendfallRouterReplicaLimits.js'
-import type { LimitChange, LimitWord, ReplicaLimit } from '../limits/BendfallRouterReplicaLimits.js'
+import { addLearnedLimit, createAsk, createLiftedAsk, forgetLimits, takeLimitNotice, takePermits } from '../limits/BendfallRouterReplicaLimits.js'
+import type { LimitChange, LimitNotice, ReplicaLimit } from '../limits/BendfallRouterReplicaLimits.js'
 import { backoffLeftMs } from '../notices/BendfallRouterNotices.js'
 import { isLeaving, stageOf } from './BendfallRouterBelief.js'
 import type { RouterContext } from './BendfallRouterContext.js'
@@ -51,15 +51,15 @@
  *
  * @param context - of the event
  * @param replica - that answered
- * @param word - from the head of its answer
+ * @param notice - from the head of its answer
  * @param sentAtMs - when its request was sent
  */
-export function takeLimit (context: RouterContext, replica: Replica, word: LimitWord, sentAtMs: number): void {
+export function takeLimit (context: RouterContext, replica: Replica, notice: LimitNotice, sentAtMs: number): void {
   const { effects, nowMs, state } = context
   const processName = nameProcess(replica)
   const { replicaId } = replica
-  if (word.type === 'unreadable') effects.push({ type: 'log', decision: 'replica_limit_unreadable', requestId: '', inputs: { replica: replicaId, text: word.text } })
-  const change = takeLimitWord(state.limits, processName, word, sentAtMs, nowMs)
+  if (notice.type === 'unreadable') effects.push({ type: 'log', decision: 'replica_limit_unreadable', requestId: '', inputs: { replica: replicaId, text: notice.text } })
+  const change = takeLimitNotice(state.limits, processName, notice, sentAtMs, nowMs)
   logChange(context, replicaId, change, 'answer')
   const limit = state.limits.get(processName)
   if (change === 'named' && limit !== undefined) {
@@ -75,14 +75,14 @@
  * @param context - of the event
  * @param event - the limits
  */
-export function takeToldLimits (context: RouterContext, { limits }: Pick<RouterEventOf<'limits_told'>, 'limits'>): void {
+export function learnLimits (context: RouterContext, { limits }: Pick<RouterEventOf<'limits_learned'>, 'limits'>): void {
   const { nowMs, state } = context
   for (const told of limits) {
     const replicaId = readReplicaId(told.processName)
     const replica = state.replicas.get(replicaId)?.replica
     if (replica === undefined || nameProcess(replica) !== told.processName || state.limits.has(told.processName)) continue
-    addToldLimit(state.limits, told, nowMs)
-    logChange(context, replicaId, 'named', 'news')
+    addLearnedLimit(state.limits, told, nowMs)
+    logChange(context, replicaId, 'named', 'document')
     const limit = limitOf(state, replica)
     if (limit !== undefined) limit.sentBefore = countSent(state.replicas.get(replicaId)?.recentSends, nowMs)
   }
@@ -104,7 +104,7 @@
   logPermits(context, replicaId, limit, ask, outcome.type)
 }
 
-function logChange ({ effects, nowMs, state }: RouterContext, replicaId: string, change: LimitChange, from: 'answer' | 'keeper' | 'news'): void {
+function logChange ({ effects, nowMs, state }: RouterContext, replicaId: string, change: LimitChange, from: 'answer' | 'keeper' | 'document'): void {
   if (change === 'nothing') return
   const replica = state.replicas.get(replicaId)?.replica
   const limit = replica === undefined ? undefined : limitOf(state, replica)
--- a/packages/bendfall-router/src/limits/BendfallRouterPermitKeeper.ts
+++ b/packages/bendfall-router/src/limits/BendfallRouterPermitKeeper.ts
@@ -42,9 +42,9 @@
   | {
     readonly type: 'leased'
     readonly permits: number
-    /** Requests a second that the replica takes by the newest word of all entries; absent: it lifted its limit. */
+    /** Requests a second that the replica takes by the newest notice to any entry; absent: it lifted its limit. */
     readonly perS?: number
-    /** Time since that word. */
+    /** Time since that notice. */
     readonly heardAgoMs: number
     /** No permit is free for this entry sooner. */
     readonly nextInMs: number
@@ -142,7 +142,7 @@
  */
 export function leasePermits (keeper: PermitKeeper, ask: PermitAsk, nowMs: number, share = 1): PermitOutcome {
   const limit = limitOf(keeper, ask, nowMs)
-  takeWord(limit, ask, nowMs)
+  learnLimit(limit, ask, nowMs)
   noteEntry(limit, ask.entry, nowMs)
   const { perS } = limit
   const answer = { type: 'leased', perS, heardAgoMs: nowMs - limit.heardAtMs, entries: Math.max(limit.entries.size, limit.formerEntries.size) } as const
@@ -210,7 +210,7 @@
 
 // What was heard last counts, by whichever entry. One that loosens the limit was asked for
 // after that: answers overtake each other.
-function takeWord (limit: KeptLimit, { heardAgoMs, perS, sentAgoMs }: PermitAsk, nowMs: number): void {
+function learnLimit (limit: KeptLimit, { heardAgoMs, perS, sentAgoMs }: PermitAsk, nowMs: number): void {
   const heardAtMs = nowMs - heardAgoMs
   const isLooser = (perS ?? Infinity) > (limit.perS ?? Infinity)
   if (heardAtMs <= limit.heardAtMs || (isLooser && nowMs - sentAgoMs <= limit.heardAtMs)) return
--- a/packages/bendfall-router/src/limits/BendfallRouterReplicaLimits.ts
+++ b/packages/bendfall-router/src/limits/BendfallRouterReplicaLimits.ts
@@ -8,7 +8,7 @@
 import { PERMIT_MS } from './BendfallRouterPermitKeeper.js'
 
 /** What the head of an answer says of a limit on the requests of all entries together. */
-export type LimitWord =
+export type LimitNotice =
   | { readonly type: 'named', readonly perS: number }
   | { readonly type: 'none' }
   /** It names one that can't be read. */
@@ -18,7 +18,7 @@
 export interface ReplicaLimit {
   readonly processName: string
   perS: number
-  /** When the last word of it came, to whichever entry. */
+  /** When the last notice of it came, to whichever entry. */
   heardAtMs: number
   /** When the request was sent whose answer said so. */
   sentAtMs: number
@@ -61,35 +61,35 @@
 /** Without an answer of the keeper it is asked again after this. */
 const UNREACHABLE_MS = 200
 
-/** What a word changed. */
+/** What a notice changed. */
 export type LimitChange = 'named' | 'changed' | 'lifted' | 'nothing'
 
 /**
- * Takes what an answer says of a limit. A word that loosens a limit counts only in the answer
- * to a request that was sent after the last word came: answers overtake each other.
+ * Takes what an answer says of a limit. A notice that loosens a limit counts only in the answer
+ * to a request that was sent after the last notice came: answers overtake each other.
  *
  * @param limits - changed in place
  * @param processName - of the replica
- * @param word - from the head of its answer
+ * @param notice - from the head of its answer
  * @param sentAtMs - when its request was sent
  * @param nowMs - the time
  * @returns what it changed
  */
-export function takeLimitWord (limits: ReplicaLimits, processName: string, word: LimitWord, sentAtMs: number, nowMs: number): LimitChange {
+export function takeLimitNotice (limits: ReplicaLimits, processName: string, notice: LimitNotice, sentAtMs: number, nowMs: number): LimitChange {
   const known = limits.get(processName)
-  if (word.type === 'unreadable') return 'nothing'
-  if (word.type === 'none') {
+  if (notice.type === 'unreadable') return 'nothing'
+  if (notice.type === 'none') {
     if (known === undefined || sentAtMs <= known.heardAtMs) return 'nothing'
     limits.delete(processName)
     return 'lifted'
   }
   if (known === undefined) {
-    addLimit(limits, { processName, perS: word.perS, heardAtMs: nowMs, sentAtMs }, nowMs)
+    addLimit(limits, { processName, perS: notice.perS, heardAtMs: nowMs, sentAtMs }, nowMs)
     return 'named'
   }
-  if (word.perS > known.perS && sentAtMs <= known.heardAtMs) return 'nothing'
-  const change = word.perS === known.perS ? 'nothing' : 'changed'
-  Object.assign(known, { perS: word.perS, heardAtMs: nowMs, sentAtMs })
+  if (notice.perS > known.perS && sentAtMs <= known.heardAtMs) return 'nothing'
+  const change = notice.perS === known.perS ? 'nothing' : 'changed'
+  Object.assign(known, { perS: notice.perS, heardAtMs: nowMs, sentAtMs })
   return change
 }
 
@@ -100,7 +100,7 @@
  * @param told - the limit
  * @param nowMs - the time
  */
-export function addToldLimit (limits: ReplicaLimits, { perS, processName }: NamedLimit, nowMs: number): void {
+export function addLearnedLimit (limits: ReplicaLimits, { perS, processName }: NamedLimit, nowMs: number): void {
   if (!limits.has(processName)) addLimit(limits, { processName, perS, heardAtMs: nowMs, sentAtMs: -Infinity }, nowMs)
 }
 
--- a/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
+++ b/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import type { LimitWord } from '../limits/BendfallRouterReplicaLimits.js'
+import type { LimitNotice } from '../limits/BendfallRouterReplicaLimits.js'
 
 /** What the head of an answer says of its replica. */
 export interface ReplicaNotice {
@@ -15,7 +15,7 @@
   /** Time for which it wants no request; absent: it did not say. */
   readonly backoffMs?: number
   /** Of a limit on the requests of all entries; absent: nothing is said either way. */
-  readonly limit?: LimitWord
+  readonly limit?: LimitNotice
   /** Names of headers in which it said more that nobody decodes; absent: none. */
   readonly undecoded?: readonly string[]
 }
