Tell an entry that starts of limits after the replicas that have them

What callers saw: nothing; a replica in need got one more request of each entry that starts, since the document of limits was read before the registrations, and limits of replicas that are not known are left out. Own documents are handed on after the replicas now. Found by reading the diff.

--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -149,8 +149,9 @@
         const registrations = entries.filter(({ key }) => key.startsWith(dialect.replicaPrefix))
         takeCrashes(entries)
         if (configs.length > 0) takeConfig(configs)
-        onOwnDocuments(entries.filter(({ key }) => key.startsWith(OWN_PREFIX)), [])
         if (registrations.length > 0) takeReplicas(registrations)
+        // After the replicas that they speak of.
+        onOwnDocuments(entries.filter(({ key }) => key.startsWith(OWN_PREFIX)), [])
       },
       // The last configuration stays in force.
       onGone: (keys) => {
