Don't count an entry's own pause as silence of its peers

Callers saw: a response that had arrived was dropped and its request made again, or refused with 503, when the entry had stood still for a moment.

The caller's bytes tell the hypotheses apart: no chunked framing and all events of the second run, so no half answer was passed off as a whole one.

Cause: the event loop runs timers before it reads sockets, so after a pause the timeout of a call fires although its response waits in the socket.

Mend: scheduleTimeout repeats an interval in which the process stood still. Used for all waits for a peer; the same fault was in holds, prefills, plain calls, new connections, and calls of ledgers and leaders.

--- a/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentClient.ts
+++ b/packages/bendfall-edge/src/allotments/BendfallEdgeAllotmentClient.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { callUnary } from 'bendfall-node'
+import { callUnary, scheduleTimeout } from 'bendfall-node'
 import type { Clock, Logger } from 'bendfall-node'
 import { AllotmentService } from 'bendfall-protocol'
 import type { AllotmentRole, UnitsOutcome } from 'bendfall-router'
@@ -97,7 +97,7 @@
   }
 
   function delay (ms: number): Promise<undefined> {
-    return new Promise((resolve) => { clock.callAt(clock.nowMs() + ms, () => resolve(undefined)) })
+    return new Promise((resolve) => { scheduleTimeout(clock, ms, () => resolve(undefined)) })
   }
 
   return {
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
@@ -4,12 +4,15 @@
  *
  * @module
  */
+import { createSystemClock, scheduleTimeout } from 'bendfall-node'
 import type { ReplicaLoad as LoadMessage, ReserveMemoryRequest } from 'bendfall-protocol'
 import type { ReplicaLoad, ReplicaStage, RouterEffectOf } from 'bendfall-router'
 
 /** Time allowed for a call beyond the wait that it requests; later responses count as lost. */
 export const CALL_SLACK_MS = 250
 
+const CLOCK = createSystemClock()
+
 const STAGES: ReadonlySet<string> = new Set(['prefill', 'decode'])
 
 /**
@@ -63,9 +66,9 @@
  * @throws Error when there is no response in time
  */
 export function withTimeout<T> (answer: Promise<T>, timeoutMs: number): Promise<T> {
-  let timer: NodeJS.Timeout
+  let cancelTimeout = (): void => {}
   const timedOut = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(() => reject(new Error(`no answer within ${timeoutMs} ms`)), timeoutMs)
+    cancelTimeout = scheduleTimeout(CLOCK, timeoutMs, () => reject(new Error(`no answer within ${timeoutMs} ms`)))
   })
-  return Promise.race([answer, timedOut]).finally(() => clearTimeout(timer))
+  return Promise.race([answer, timedOut]).finally(() => cancelTimeout())
 }
--- a/packages/bendfall-edge/src/peer/BendfallEdgeLeaderClient.ts
+++ b/packages/bendfall-edge/src/peer/BendfallEdgeLeaderClient.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { scheduleTimeout } from 'bendfall-node'
 import type { AnsweringSessionManager, Clock, Logger } from 'bendfall-node'
 import type { KeyValueEntry } from 'bendfall-platform'
 import { withTimeout } from '../ledger/BendfallEdgeLedgerMessages.js'
@@ -90,7 +91,7 @@
     const target = leader
     if (target === undefined || target.endpoint.instanceId === own.instanceId) return undefined
     if (target.backoffUntilMs > clock.nowMs() && !ignoresBackoff) return undefined
-    const cancelBackoff = clock.callAt(clock.nowMs() + CALL_TIMEOUT_MS, () => startBackoff(target))
+    const cancelBackoff = scheduleTimeout(clock, CALL_TIMEOUT_MS, () => startBackoff(target))
     try {
       return await withTimeout(makeCall(target.session, { timeoutMs }), timeoutMs)
     } catch (error) {
--- a/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import { scheduleTimeout } from 'bendfall-node'
 import type { Clock, Teardown } from 'bendfall-node'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
@@ -62,7 +63,7 @@
     onFail: (_, isSent) => finish({ type: 'unanswered', isSent })
   })
   if (isOver) return
-  cancel = clock.callAt(clock.nowMs() + timeoutMs, () => {
+  cancel = scheduleTimeout(clock, timeoutMs, () => {
     call.abort()
     finish({ type: 'unanswered', isSent: true })
   })
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
@@ -10,12 +10,15 @@
 import { Socket } from 'node:net'
 import type { SocketConstructorOpts } from 'node:net'
 import type { DuplexOptions } from 'node:stream'
+import { createSystemClock, scheduleTimeout } from 'bendfall-node'
 import { connectionEndOf } from 'bendfall-platform'
 import type { ConnectionEnd } from 'bendfall-platform'
 
 /** Timeout for opening a connection; a lost first packet is retransmitted only after a second. */
 export const CONNECT_TIMEOUT_MS = 400
 
+const CLOCK = createSystemClock()
+
 /** Idle time of a connection before the first TCP keep-alive probe. */
 const KEEP_ALIVE_DELAY_MS = 1_000
 
@@ -95,9 +98,9 @@
 export function connectReplica (options: ReplicaSocketOptions, callback: ConnectCallback): void {
   const { host, onEnd, port } = options
   const socket = new ReplicaSocket(SOCKET_OPTIONS)
-  const timer = setTimeout(() => socket.destroy(new ConnectTimeoutError(`connection not established within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
+  const cancelTimeout = scheduleTimeout(CLOCK, CONNECT_TIMEOUT_MS, () => socket.destroy(new ConnectTimeoutError(`connection not established within ${CONNECT_TIMEOUT_MS} ms`)))
   const onFailed = (error: Error): void => {
-    clearTimeout(timer)
+    cancelTimeout()
     callback(error, null)
   }
   socket.setNoDelay(true)
@@ -105,7 +108,7 @@
   socket.once('end', () => onEnd(connectionEndOf(socket)))
   socket.once('error', onFailed)
   socket.connect({ host, port }, () => {
-    clearTimeout(timer)
+    cancelTimeout()
     socket.removeListener('error', onFailed)
     callback(null, socket)
   })
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import type { Clock, Teardown } from 'bendfall-node'
-import { combineTeardowns } from 'bendfall-node'
+import type { Teardown } from 'bendfall-node'
+import { combineTeardowns, scheduleTimeout } from 'bendfall-node'
 import type { RouterEffectOf } from 'bendfall-router'
 import type { RawHeaders, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { Exchange } from '../caller/BendfallEdgeExchange.js'
@@ -64,7 +64,8 @@
     const { method = 'GET', url = '/' } = exchange.request
     const { forwardHeaders, requestId } = exchange.caller
     const request = { method, path: url, headers: [...forwardHeaders, ...headers], body: exchange.body, requestId }
-    const cancelTimeout = scheduleTimeout(loop.clock, tryTimeoutMs, () => loop.dispatch({ type: 'try_timed_out', key, attempt }))
+    const handleTimeout = (): void => loop.dispatch({ type: 'try_timed_out', key, attempt })
+    const cancelTimeout = tryTimeoutMs === undefined ? () => {} : scheduleTimeout(loop.clock, tryTimeoutMs, handleTimeout)
     const sentAtMs = loop.clock.nowMs()
     const call = startIdentifiedCall(options, poolOf(address), request, {
       ...listener,
@@ -114,7 +115,3 @@
     })
   ])
 }
-
-function scheduleTimeout (clock: Clock, inMs: number | undefined, callback: () => void): Teardown {
-  return inMs === undefined ? () => {} : clock.callAt(clock.nowMs() + inMs, callback)
-}
--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersResumedEnd.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesAnswersResumedEnd.test.ts
@@ -53,6 +53,7 @@
   })
 }
 
+// Guards against a last chunk added by the router, which would make a stream look complete whose end nobody vouched for.
 test('a chunked stream resumed at a replica with a close-delimited response does not look complete', async () => {
   let runs = 0
   const scriptOf = ({ asked }: { readonly asked: string }): object => {
--- a/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
@@ -9,11 +9,14 @@
 import type { DescMessage, DescMethodUnary, MessageInitShape, MessageShape } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
 import type { Http2SessionManager } from '@connectrpc/connect-node'
+import { createSystemClock, scheduleTimeout } from '../runtime/index.js'
 import { joinSender, splitSender } from './BendfallNodeSenderHeaders.js'
 import { MAX_UNARY_BYTES, methodPath, UNARY_CONTENT_TYPE } from './BendfallNodeUnaryServer.js'
 
 const HEADERS = { 'content-type': UNARY_CONTENT_TYPE, 'connect-protocol-version': '1' }
 
+const CLOCK = createSystemClock()
+
 /** The peer certainly did not take the call, so another one may. */
 export class NotProcessedError extends Error {
   override readonly name = 'NotProcessedError'
@@ -56,7 +59,7 @@
     isGivenUp = true
     stream?.close(constants.NGHTTP2_CANCEL)
   }
-  const timer = setTimeout(giveUp, options.timeoutMs)
+  const cancelTimeout = scheduleTimeout(CLOCK, options.timeoutMs, giveUp)
   options.signal?.addEventListener('abort', giveUp, { once: true })
   try {
     // The length tells the peer a whole message from one that was given up.
@@ -67,7 +70,7 @@
     const { head, body } = await answer
     return joinSender(fromBinary(method.output, body), head)
   } finally {
-    clearTimeout(timer)
+    cancelTimeout()
     options.signal?.removeEventListener('abort', giveUp)
   }
 }
