Use a replica again that was slow or failing once

Callers saw: after one slow response the entry sent nothing to a replica until it restarted; the others carried its load, and nothing said so.

Cause: the response time and failure share of a replica changed only with its own responses, and the least expected latency is chosen, so an avoided replica could not recover. An untried one stayed at the assumed 40 ms.

Mend: one call in 50 probes a replica without a sample for a second; the response replaces the estimate. Failures lose half their weight in 10 s. A sample counts three times the estimate at most.

--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesRequestLimits.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesRequestLimits.test.ts
@@ -25,6 +25,7 @@
   assertLimitsKept(await runLimitScenario({ entries: 3, limited: 3, seconds: SECONDS }), MIN_USED_SHARE)
 })
 
+// Guards against a limited replica that gets no requests at all, since every entry avoids it after one slow response.
 test('one replica of three that names a limit gets it, and the others serve the rest', async () => {
   const outcome = await runLimitScenario({ entries: 3, limited: 1, seconds: SECONDS })
   assertLimitsKept(outcome, MIN_USED_SHARE)
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -9,6 +9,7 @@
 import { draw, logDecision, registrationsAgeMs, recordSent, remainingMs } from './BendfallRouterContext.js'
 import { recordConnectionLost } from './BendfallRouterCrashes.js'
 import { endAnswered, releaseRun } from './BendfallRouterEnd.js'
+import { expectedLatencyMs, failureShareOf, isProbeDue } from './BendfallRouterEstimates.js'
 import type { RouterEventOf, SendFailure } from './BendfallRouterEvents.js'
 import { refuseBackoff } from './BendfallRouterNotice.js'
 import { awaitPermit } from './BendfallRouterPermitWait.js'
@@ -33,8 +34,8 @@
 const PERMIT_PREFERENCE_SHARE = 0.3
 const PERMIT_PREFERENCE_MS = 20
 
-/** Assumed latency of a replica before the first measurement. */
-const INITIAL_LATENCY_MS = 40
+/** Share of the calls that probe a replica without a recent response time. */
+const PROBE_SHARE = 0.02
 
 /** Timeout of a repeatable send, as a multiple of the mean latency of the replica. */
 const TRY_TIMEOUT_FACTOR = 6
@@ -66,7 +67,7 @@
     lastEventId: request.lastEventId,
     isStream: request.route.kind === 'streaming',
     tryTimeoutMs: tryTimeoutMsOf(request, view)
-  }, { replica: replicaId, inFlight: view.inFlight, registrationsAgeMs: registrationsAgeMs(context), latencyMs: Math.round(view.latencyMs), failureShare: round(view.failureShare), attempt: request.attempt })
+  }, { replica: replicaId, inFlight: view.inFlight, registrationsAgeMs: registrationsAgeMs(context), latencyMs: Math.round(view.latencyMs), failureShare: round(failureShareOf(view, context.nowMs)), attempt: request.attempt })
   return undefined
 }
 
@@ -100,7 +101,7 @@
   const isFailure = event.status >= 500
   if (view !== undefined && isFailure) recordFailure(view, context.nowMs)
   if (view !== undefined) recordAnswered(view, request)
-  if (view !== undefined && !isFailure) recordSuccess(view, context.nowMs - (request.runSentAtMs ?? context.nowMs))
+  if (view !== undefined && !isFailure) recordSuccess(view, context.nowMs, context.nowMs - (request.runSentAtMs ?? context.nowMs))
   if (isFailure && !request.isCommitted && hasOtherReplica(context, request) && authorizeRetry(context, request, 'unknown')) return retryElsewhere(context, request, 'failed_answer')
   const replica = request.runReplicaId
   releaseRun(context, request)
@@ -140,10 +141,13 @@
 
 function chooseReplica (context: RouterContext, request: RequestState): ReplicaView | undefined {
   const usable = sampleCandidates(context, usableReplicas(context, request, stageFor(request)))
+  const probed = chooseProbe(context, usable)
+  if (probed !== undefined) return probed
   let best: ReplicaView | undefined
   let bestMs = Infinity
   for (const view of usable) {
-    const expectedMs = expectedLatencyMs(view) - permitPreferenceMs(context, view)
+    const latencyMs = expectedLatencyMs(view, context.nowMs)
+    const expectedMs = latencyMs - permitPreferenceMs(context, view, latencyMs)
     if (expectedMs >= bestMs || (best !== undefined && context.state.decisions.replica === 'random')) continue
     best = view
     bestMs = expectedMs
@@ -151,21 +155,20 @@
   return best
 }
 
+function chooseProbe ({ nowMs, state }: RouterContext, views: readonly ReplicaView[]): ReplicaView | undefined {
+  const due = views.find((view) => isProbeDue(view, nowMs))
+  return due !== undefined && draw(state) < PROBE_SHARE ? due : undefined
+}
+
 // Starts at a random index, so that replicas with equal latency share the load.
 function sampleCandidates (context: RouterContext, views: ReplicaView[]): ReplicaView[] {
   const start = Math.floor(draw(context.state) * views.length)
   return [...views.slice(start), ...views.slice(0, start)].slice(0, MAX_CANDIDATES)
 }
 
-// Grows with the queue length and with the failure rate, since each failure costs another attempt.
-function expectedLatencyMs ({ failureShare, inFlight, latencyMs, replica }: ReplicaView): number {
-  const meanMs = latencyMs === 0 ? INITIAL_LATENCY_MS : latencyMs
-  return meanMs * (1 + inFlight / Math.max(1, replica.slots)) / (1 - Math.min(0.9, failureShare)) ** 2
-}
-
 // Permits expire soon. Spending one leaves the replicas without a limit to requests that have no permit.
-function permitPreferenceMs ({ state }: RouterContext, view: ReplicaView): number {
-  return limitOf(state, view.replica) === undefined ? 0 : PERMIT_PREFERENCE_SHARE * expectedLatencyMs(view) + PERMIT_PREFERENCE_MS
+function permitPreferenceMs ({ state }: RouterContext, view: ReplicaView, latencyMs: number): number {
+  return limitOf(state, view.replica) === undefined ? 0 : PERMIT_PREFERENCE_SHARE * latencyMs + PERMIT_PREFERENCE_MS
 }
 
 function tryTimeoutMsOf (request: RequestState, view: ReplicaView): number | undefined {
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -96,7 +96,7 @@
   if (view !== undefined) {
     learnSpeed(context, request, tookMs)
     learnTimeFactor(view, tookMs, request.prefillLeadMs)
-    recordSuccess(view)
+    recordSuccess(view, context.nowMs)
     request.handle = { replicaId, startedAtMs: view.replica.startedAtMs, address: view.replica.address, handle: outcome.handle, expiresAtMs: earliestReadyAtMs(context) + handleTtlMs }
   }
   releasePrefill(context, request)
--- a/packages/bendfall-router/src/entry/BendfallRouterReplicaHealth.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReplicaHealth.ts
@@ -10,14 +10,12 @@
 import type { Replica, ReplicaStage } from '../BendfallRouterTypes.js'
 import type { SendFailure } from './BendfallRouterEvents.js'
 import type { RouterContext } from './BendfallRouterContext.js'
+import { recordLatency, recordOutcome } from './BendfallRouterEstimates.js'
 import { createRecentSends } from './BendfallRouterRecentSends.js'
 import { isStalled } from './BendfallRouterStalls.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaView, RouterState } from './BendfallRouterState.js'
 
-/** Weight of the newest response in a replica's moving averages: about the last ten responses count. */
-const AVERAGE_WEIGHT = 0.1
-
 /** First period for which a failing replica is avoided; doubles with each consecutive failure. */
 const INITIAL_SUSPICION_MS = 200
 
@@ -62,7 +60,9 @@
     prefillTokensSinceLoad: 0,
     prefillTimeFactor: 1,
     failureShare: 0,
+    outcomeAtMs: -Infinity,
     latencyMs: 0,
+    latencyAtMs: -Infinity,
     consecutiveFailures: 0,
     routes: new Map(),
     suspectUntilMs: -Infinity,
@@ -144,15 +144,15 @@
  * Records a successful response of a replica.
  *
  * @param view - view of the replica
+ * @param nowMs - current time
  * @param latencyMs - time from the send to the end of the response; absent if it says nothing about
  *   the replica's speed
  */
-export function recordSuccess (view: ReplicaView, latencyMs?: number): void {
+export function recordSuccess (view: ReplicaView, nowMs: number, latencyMs?: number): void {
   view.consecutiveFailures = 0
   view.suspectUntilMs = -Infinity
-  view.failureShare *= 1 - AVERAGE_WEIGHT
-  if (latencyMs === undefined) return
-  view.latencyMs = view.latencyMs === 0 ? latencyMs : view.latencyMs + AVERAGE_WEIGHT * (latencyMs - view.latencyMs)
+  recordOutcome(view, false, nowMs)
+  if (latencyMs !== undefined) recordLatency(view, latencyMs, nowMs)
 }
 
 /**
@@ -165,7 +165,7 @@
 export function recordFailure (view: ReplicaView, nowMs: number, failure: SendFailure = 'unknown'): void {
   // Another replica has its address now, or it changed its pool: the registration is out of date.
   if (failure === 'wrong_replica') view.suspectUntilMs = nowMs + MAX_SUSPICION_MS
-  view.failureShare += AVERAGE_WEIGHT * (1 - view.failureShare)
+  recordOutcome(view, true, nowMs)
   view.consecutiveFailures += 1
   const doublings = view.consecutiveFailures - FAILURES_TO_SUSPECT
   if (doublings < 0) return
--- a/packages/bendfall-router/src/entry/BendfallRouterRun.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRun.ts
@@ -95,7 +95,7 @@
 export function handleRunAnswer (context: RouterContext, request: RequestState, event: RouterEventOf<'answer_complete'>): NextStep {
   const replica = request.runReplicaId
   const view = context.state.replicas.get(replica ?? '')
-  if (view !== undefined && event.status < 500) recordSuccess(view)
+  if (view !== undefined && event.status < 500) recordSuccess(view, context.nowMs)
   if (view !== undefined && event.status >= 500) recordFailure(view, context.nowMs)
   releaseRun(context, request)
   context.effects.push({ type: 'deliver', key: request.key })
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -56,8 +56,12 @@
   prefillTimeFactor: number
   /** Moving average of the share of failed responses, 0 to 1. */
   failureShare: number
+  /** When that share was updated. */
+  outcomeAtMs: number
   /** Mean response time; 0 before the first measurement. */
   latencyMs: number
+  /** When that time was updated. */
+  latencyAtMs: number
   consecutiveFailures: number
   /** Health by name of the route; absent for routes without overdue calls. */
   readonly routes: Map<string, RouteHealth>
