Withhold permits no longer than the earlier sends count

Callers saw: a replica that had named a limit got nothing for up to 7.5 s while they were refused with replicas_limited, or the others carried its load.

Cause: sends from before the limit was known are withheld from the first permits, and that debt was paid off at the limit's rate, though the sends leave the window after 4 s.

The new test of the leader fails on the former code.

Mend: what is still withheld when the latest of these sends leaves the window is released, and waiting entries are told to ask then.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPermitLeader.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPermitLeader.test.ts
@@ -70,6 +70,15 @@
   assert.is(held(0), held(200))
 })
 
+// Guards against a limited replica without requests for longer than the window in which the earlier sends count.
+test('permits are withheld only until the sends for which they are have left the window', () => {
+  const leader = createPermitLeaderState(0)
+  assert.is(lease(leader, 10_000, { sentBefore: 50 }).permits, 0)
+  assert.is(leaseFor(leader, 10_000, 13_980), 0)
+  assert.ok(lease(leader, 13_980).nextInMs <= 20)
+  assert.ok(leaseFor(leader, 14_000, 18_000) >= 19)
+})
+
 test('a leader whose lease expired leases only its share of the permits', () => {
   const leader = createPermitLeaderState(0)
   leaseFor(leader, 0, 2_000, {}, 0.25)
--- a/packages/bendfall-router/src/limits/BendfallRouterPermitLeader.ts
+++ b/packages/bendfall-router/src/limits/BendfallRouterPermitLeader.ts
@@ -76,6 +76,8 @@
   /** Sends without a permit in the current window. */
   sentBefore: number
   sentBeforeSinceMs: number
+  /** When the latest of these sends leaves the window, so that no permit is withheld for them any more. */
+  withheldUntilMs: number
   /** Entries that requested permits in the current interval, and in the one before. */
   entries: Set<string>
   previousEntries: Set<string>
@@ -149,8 +151,9 @@
   if (perS === undefined) return { ...response, permits: 0, nextInMs: 0 }
   const bounds = bucketLimitOf(perS * share)
   giveBackUnits(limit.bucket, bounds, request.returned, nowMs)
+  releaseWithheldPermits(limit, nowMs)
   withholdPermits(limit, perS, request.sentBefore, nowMs)
-  return { ...response, ...takePermits(limit.bucket, bounds, request.wanted, nowMs) }
+  return { ...response, ...takePermits(limit, bounds, request.wanted, nowMs) }
 }
 
 /**
@@ -163,14 +166,14 @@
   return [...limits].flatMap(([processName, { perS }]) => perS === undefined ? [] : [{ processName, perS }])
 }
 
-function takePermits (bucket: TokenBucket, bounds: BucketLimit, wanted: number, nowMs: number): { readonly permits: number, readonly nextInMs: number } {
+function takePermits ({ bucket, withheldUntilMs }: LimitState, bounds: BucketLimit, wanted: number, nowMs: number): { readonly permits: number, readonly nextInMs: number } {
   if (wanted < 1) return { permits: 0, nextInMs: 0 }
   const first = takeUnits(bucket, bounds, 1, nowMs)
   const maxWaitMs = Math.max(MAX_WAIT_MS, MS_PER_SECOND / bounds.unitsPerS)
   // Entries that were given a later time request again sooner than that, so that reservations beyond
   // the maximum must not delay others.
   bucket.latestRetryAtMs = Math.min(bucket.latestRetryAtMs, nowMs + maxWaitMs)
-  if (first.type === 'refused') return { permits: 0, nextInMs: Math.min(first.retryAfterMs, maxWaitMs) }
+  if (first.type === 'refused') return { permits: 0, nextInMs: Math.min(first.retryAfterMs, maxWaitMs, withheldUntilMs > nowMs ? withheldUntilMs - nowMs : Infinity) }
   const maxPermits = Math.max(1, Math.ceil(bounds.unitsPerS * LEASE_BATCH_S))
   const additional = Math.min(wanted - 1, maxPermits - 1, Math.floor(bucket.units))
   bucket.units -= Math.max(0, additional)
@@ -193,6 +196,7 @@
     bucket: { ...createBucket(NO_BURST, sinceMs), units: INITIAL_PERMITS },
     sentBefore: 0,
     sentBeforeSinceMs: -Infinity,
+    withheldUntilMs: -Infinity,
     entries: new Set<string>(),
     previousEntries: new Set<string>(),
     entriesSinceMs: nowMs
@@ -228,12 +232,18 @@
   limit.entries.add(entry)
 }
 
+// Sends that have left the window no longer count, however many permits are still withheld for them.
+function releaseWithheldPermits ({ bucket, withheldUntilMs }: LimitState, nowMs: number): void {
+  if (nowMs >= withheldUntilMs) bucket.units = Math.max(0, bucket.units)
+}
+
 // A window that far exceeds its bound by these sends alone does so whatever is leased.
 function withholdPermits (limit: LimitState, perS: number, sends: number, nowMs: number): void {
   if (nowMs - limit.sentBeforeSinceMs > WINDOW_MS) {
     limit.sentBefore = 0
     limit.sentBeforeSinceMs = nowMs
   }
+  if (sends > 0) limit.withheldUntilMs = nowMs + WINDOW_MS
   const previous = withheldPermits(limit.sentBefore, perS)
   limit.sentBefore += sends
   limit.bucket.units -= withheldPermits(limit.sentBefore, perS) - previous
