Date a repeated report by the first request that brought it

Callers saw, or could see: a ledger that grants memory by a report from before the question; the run is refused at the replica and its prefill lost.

Cause: a repeated report is asked for again on a new connection, and used as new if that brings none. Under load the process's own pause timed the new one out.

Evidence: on the former code, with a new connection that is reset, or answered during a pause of 450 ms, report 1 is 40 ms older than its request (two new tests, failed before).

Mend: such a report counts as of the first request with the same body, and a poll that was closed meanwhile records none. A replica at its connection limit is still not taken for lost (its test passes unchanged).

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeOwnCalls.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeOwnCalls.test.ts
@@ -16,8 +16,17 @@
 import type { ScriptedRequest } from './ScriptedReplica.js'
 
 const IDLE_MS = 40
+
+/** Longer than the timeout of a report. */
+const PAUSE_MS = 450
+
 const SILENT = createLogger({ level: 'error', write: () => {} })
 
+function pauseProcess (ms: number): void {
+  const endsAtMs = performance.now() + ms
+  while (performance.now() < endsAtMs) continue
+}
+
 /** Responds to each request after repeating the responses to all earlier requests on its connection. */
 function withDuplicates (respond: (request: ScriptedRequest) => string): (request: ScriptedRequest) => void {
   const earlier = new Map<number, string>()
@@ -142,12 +151,29 @@
   return { connections: replica.connections, reports }
 }
 
+// Guards against memory that is granted by a duplicate of an earlier report.
 test('a report tells of no time before it was asked for', async () => {
   const { reports } = await pollReplica(createResponse)
   assert.ok(reports.length >= 5)
   for (const { arrivedAfterMs, usedTokens } of reports) assert.ok(arrivedAfterMs >= 0, `report ${usedTokens} is ${-arrivedAfterMs} ms older than its request`)
 })
 
+const NEW_CONNECTION_FAULTS = [
+  ['is reset', ({ socket }: ScriptedRequest) => { socket.resetAndDestroy() }],
+  ['is answered during a pause of the process', () => pauseProcess(PAUSE_MS)]
+] as const
+
+for (const [fault, inject] of NEW_CONNECTION_FAULTS) {
+  test(`a report tells of no time before it was asked for when a new connection ${fault}`, async () => {
+    const { reports } = await pollReplica((request) => {
+      if (request.connection > 1) inject(request)
+      return createResponse(request)
+    })
+    assert.ok(reports.length >= 2)
+    for (const { arrivedAfterMs, usedTokens } of reports) assert.ok(arrivedAfterMs >= 0, `report ${usedTokens} is ${-arrivedAfterMs} ms older than its request`)
+  })
+}
+
 test('the identical reports of an idle replica share a connection', async () => {
   const { connections, reports } = await pollReplica(() => formatResponse({ body: '0' }), [], false)
   assert.ok(reports.length >= 5)
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReportCalls.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReportCalls.ts
@@ -25,14 +25,18 @@
 /** A report that was fetched. */
 export interface ReadReport {
   readonly report: EngineReport
+  /** When it was requested. */
+  readonly askedAtMs: number
+  /** When the first report with the same body was requested on these connections. */
+  readonly firstAskedAtMs: number
   /** Whether the same body was received before on these connections, so that it may be a duplicate response. */
   readonly isRepeat: boolean
 }
 
-/** Persistent connections, with the bodies received on them. */
+/** Persistent connections, with the bodies received on them and the time at which each was first requested. */
 interface ReportSource {
   readonly pool: ConnectionPool
-  readonly bodies: Set<string>
+  readonly bodies: Map<string, number>
 }
 
 /** Calls that fetch the reports of a replica. */
@@ -62,20 +66,22 @@
   let requestCount = 0
   let isClosed = false
 
-  function toReport (bodies: Set<string>, { body, headers, status }: Extract<ControlCallOutcome, { readonly type: 'answered' }>): ReadReport | undefined {
+  function toReport (bodies: Map<string, number>, askedAtMs: number, { body, headers, status }: Extract<ControlCallOutcome, { readonly type: 'answered' }>): ReadReport | undefined {
     const text = body.toString('latin1')
     const isRepeat = bodies.has(text)
-    bodies.add(text)
+    const firstAskedAtMs = bodies.get(text) ?? askedAtMs
+    bodies.set(text, firstAskedAtMs)
     const report = status === OK_STATUS ? dialect.readReport(body, headers).unwrapOr(undefined) : undefined
-    return report === undefined ? undefined : { report, isRepeat }
+    return report === undefined ? undefined : { report, askedAtMs, firstAskedAtMs, isRepeat }
   }
 
   function fetchReport ({ bodies, pool }: ReportSource): Promise<ReadReport | undefined> {
     requestCount += 1
+    const askedAtMs = clock.nowMs()
     const request = { ...dialect.report, headers: [], requestId: `report-${requestCount}` }
     return new Promise((resolve) => {
       startControlCall(pool, request, { clock, timeoutMs: REPORT_TIMEOUT_MS, maxBytes: MAX_REPORT_BYTES }, (answer) => {
-        resolve(answer.type === 'answered' ? toReport(bodies, answer) : undefined)
+        resolve(answer.type === 'answered' ? toReport(bodies, askedAtMs, answer) : undefined)
       })
     })
   }
@@ -109,5 +115,5 @@
 }
 
 function openSource (address: string): ReportSource {
-  return { pool: createConnectionPool(address, () => {}), bodies: new Set() }
+  return { pool: createConnectionPool(address, () => {}), bodies: new Map() }
 }
--- a/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeReports.ts
@@ -8,7 +8,7 @@
 import { createSignal } from 'bendfall-node'
 import { incarnationOf } from 'bendfall-router'
 import type { LedgerEffect, LedgerEvent, LedgerState } from 'bendfall-router'
-import type { EngineReport, ReplicaDialect } from '../BendfallEdgeDialect.js'
+import type { ReplicaDialect } from '../BendfallEdgeDialect.js'
 import { createReportCalls } from './BendfallEdgeReportCalls.js'
 import type { ReadReport } from './BendfallEdgeReportCalls.js'
 
@@ -65,7 +65,7 @@
     if (failures >= FAILURES_TO_UNHEALTHY) loop.dispatch({ type: 'report_failed' })
   }
 
-  function recordReport (report: EngineReport, askedAtMs: number): void {
+  function recordReport ({ askedAtMs, report }: ReadReport): void {
     if (failures >= FAILURES_TO_UNHEALTHY) logger.info('replica_regained', { address: replicaAddress })
     failures = 0
     if (incarnationOf(state(), report) !== 'same') logger.info('replica_restarted', { address: replicaAddress, formerStartedAtMs: state().report?.startedAtMs, startedAtMs: report.startedAtMs })
@@ -76,16 +76,18 @@
   async function readReport (): Promise<ReadReport | undefined> {
     const read = await calls.read()
     if (read === undefined || !isSuspectRepeat(state(), read)) return read
-    return await calls.readOnNewConnection() ?? read
+    // Without a new connection it may be a duplicate, so that it tells nothing newer than the first one.
+    return await calls.readOnNewConnection() ?? { ...read, askedAtMs: read.firstAskedAtMs }
   }
 
   async function poll (): Promise<void> {
     while (!ended.signal.aborted) {
-      const askedAtMs = clock.nowMs()
+      const startedAtMs = clock.nowMs()
       const read = await readReport()
+      if (ended.signal.aborted) return
       if (read === undefined) recordFailure()
-      else recordReport(read.report, askedAtMs)
-      await wakeUp.wait(pollPeriodMs(state(), askedAtMs), ended.signal)
+      else recordReport(read)
+      await wakeUp.wait(pollPeriodMs(state(), read?.askedAtMs ?? startedAtMs), ended.signal)
     }
   }
 
