--- a/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
@@ -78,12 +78,16 @@
 
 /**
  * Starts a call that releases a resource and ignores its outcome, since a resource that isn't
- * released expires soon anyway.
+ * released expires soon anyway. As no response is awaited, a pause of the process doesn't extend the
+ * timeout.
  *
  * @param pool - connections to the replica
  * @param call - method and path
  * @param clock - clock for the timeout
  */
 export function startBestEffortCall (pool: ConnectionPool, call: Pick<ReplicaCallRequest, 'method' | 'path'>, clock: Clock): void {
-  startControlCall(pool, { ...call, headers: [] }, { clock, timeoutMs: BEST_EFFORT_TIMEOUT_MS }, () => {})
+  let cancel: Teardown = () => {}
+  const handleEnd = (): void => cancel()
+  const replicaCall = startReplicaCall(pool, { ...call, headers: [] }, { onHead: () => {}, onChunk: () => {}, onEnd: handleEnd, onFail: handleEnd })
+  cancel = clock.callAt(clock.nowMs() + BEST_EFFORT_TIMEOUT_MS, replicaCall.abort)
 }
--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesCustomers.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesCustomers.test.ts
@@ -69,6 +69,7 @@
   })
 })
 
+// Guards against unknown keys that are looked up in the store, by which callers could overload it.
 test('requests with random keys cause no calls to the store', async () => {
   await withCustomerHarness(1, [ACME], async (scene) => {
     const [entry] = scene.entries as [CustomerEntry]
@@ -89,6 +90,22 @@
   })
 })
 
+/** Calls that an entry makes whether or not it is called: watches, its lease and the elections. */
+const ROUTINE_CALLS = /^(kv-watch |kv-lease |kv-keep \d+|kv-txn |kv-key bendfall\/)/
+
+test('requests with random keys cause no reads of customers or configurations', async () => {
+  await withCustomerHarness(1, [ACME], async (scene) => {
+    const [entry] = scene.entries as [CustomerEntry]
+    await sleep(500)
+    const before = new Map(scene.store.callCounts())
+    for (let batch = 0; batch < 100; batch++) {
+      await Promise.all(Array.from({ length: 20 }, (_, i) => callEntry(entry, { path: '/r/1', headers: withKey(`random-${batch}-${i}`) })))
+    }
+    const calls = [...scene.store.callCounts()].filter(([name, count]) => count > (before.get(name) ?? 0) && !ROUTINE_CALLS.test(name))
+    assert.equal(calls, [])
+  })
+})
+
 const FAULTS: ReadonlyArray<readonly [string, (entry: CustomerEntry) => void]> = [
   ['whose connections to the store become silent', ({ proxy }) => proxy.injectFault('silent')],
   ['that can send to the store but receives nothing', ({ proxy }) => proxy.injectFault('one_way')]
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetStore.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetStore.ts
@@ -45,6 +45,8 @@
   readonly era: () => number
   /** @returns the number of calls received so far */
   readonly calls: () => number
+  /** @returns the same by method and subject, such as `kv-watch servers/` */
+  readonly callCounts: () => ReadonlyMap<string, number>
   /** @returns all stored keys with their decoded values */
   readonly documents: () => ReadonlyArray<{ readonly key: string, readonly value: string }>
 }
@@ -79,6 +81,7 @@
   let era = 1
   let isUnavailable = false
   let calls = 0
+  const callCounts = new Map<string, number>()
   let backups: Backup[] = []
 
   function recordBackup (): void {
@@ -187,6 +190,8 @@
     if (failure !== undefined) return sendJson(response, failure, {})
     const url = new URL(request.url ?? '/', 'http://store')
     const [, , call = '', id = ''] = url.pathname.split('/')
+    const subject = `${call} ${url.searchParams.get('path-prefix') ?? url.searchParams.get('key') ?? id}`
+    callCounts.set(subject, (callCounts.get(subject) ?? 0) + 1)
     const json = (): never => JSON.parse(body.toString() || '{}') as never
     const lease = Number(id)
     const handlers: Readonly<Record<string, () => void>> = {
@@ -224,6 +229,7 @@
     restore,
     era: () => era,
     calls: () => calls,
+    callCounts: () => callCounts,
     documents: () => [...items.values()].map(({ key, value }) => ({ key, value: Buffer.from(value, 'base64').toString() })),
     fail: (status) => { failure = status },
     compact: () => {
