Bound what a pause adds to a timeout, and log the age of response times

Callers would have waited longer for a silent ledger: a pause repeated a quarter of a timeout, 0.9 s of the 3.8 s of a reservation. Found by reading the diff; the new test of a timeout of 4 s failed before.

'sent' tells latencyAgeMs, since no line told that a replica was avoided for an old response time. One systemClock takes the place of three.

--- a/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
+++ b/packages/bendfall-edge/src/ledger/BendfallEdgeLedgerMessages.ts
@@ -4,15 +4,13 @@
  *
  * @module
  */
-import { createSystemClock, scheduleTimeout } from 'bendfall-node'
+import { scheduleTimeout, systemClock } from 'bendfall-node'
 import type { ReplicaLoad as LoadMessage, ReserveMemoryRequest } from 'bendfall-protocol'
 import type { ReplicaLoad, ReplicaStage, RouterEffectOf } from 'bendfall-router'
 
 /** Time allowed for a call beyond the wait that it requests; later responses count as lost. */
 export const CALL_SLACK_MS = 250
 
-const CLOCK = createSystemClock()
-
 const STAGES: ReadonlySet<string> = new Set(['prefill', 'decode'])
 
 /**
@@ -68,7 +66,7 @@
 export function withTimeout<T> (answer: Promise<T>, timeoutMs: number): Promise<T> {
   let cancelTimeout = (): void => {}
   const timedOut = new Promise<never>((_resolve, reject) => {
-    cancelTimeout = scheduleTimeout(CLOCK, timeoutMs, () => reject(new Error(`no answer within ${timeoutMs} ms`)))
+    cancelTimeout = scheduleTimeout(systemClock, timeoutMs, () => reject(new Error(`no answer within ${timeoutMs} ms`)))
   })
   return Promise.race([answer, timedOut]).finally(() => cancelTimeout())
 }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
@@ -10,15 +10,13 @@
 import { Socket } from 'node:net'
 import type { SocketConstructorOpts } from 'node:net'
 import type { DuplexOptions } from 'node:stream'
-import { createSystemClock, scheduleTimeout } from 'bendfall-node'
+import { scheduleTimeout, systemClock } from 'bendfall-node'
 import { connectionEndOf } from 'bendfall-platform'
 import type { ConnectionEnd } from 'bendfall-platform'
 
 /** Timeout for opening a connection; a lost first packet is retransmitted only after a second. */
 export const CONNECT_TIMEOUT_MS = 400
 
-const CLOCK = createSystemClock()
-
 /** Idle time of a connection before the first TCP keep-alive probe. */
 const KEEP_ALIVE_DELAY_MS = 1_000
 
@@ -98,7 +96,7 @@
 export function connectReplica (options: ReplicaSocketOptions, callback: ConnectCallback): void {
   const { host, onEnd, port } = options
   const socket = new ReplicaSocket(SOCKET_OPTIONS)
-  const cancelTimeout = scheduleTimeout(CLOCK, CONNECT_TIMEOUT_MS, () => socket.destroy(new ConnectTimeoutError(`connection not established within ${CONNECT_TIMEOUT_MS} ms`)))
+  const cancelTimeout = scheduleTimeout(systemClock, CONNECT_TIMEOUT_MS, () => socket.destroy(new ConnectTimeoutError(`connection not established within ${CONNECT_TIMEOUT_MS} ms`)))
   const onFailed = (error: Error): void => {
     cancelTimeout()
     callback(error, null)
--- a/packages/bendfall-node/src/__tests__/unit/BendfallNodeTimeout.test.ts
+++ b/packages/bendfall-node/src/__tests__/unit/BendfallNodeTimeout.test.ts
@@ -88,6 +88,16 @@
   assert.is(count(), 1)
 })
 
+test('a pause extends a long timeout by no more than a tenth of a second', () => {
+  const { clock, count } = startTimeout(4_000)
+  clock.advance(3_990)
+  clock.pause(30)
+  clock.advance(99)
+  assert.is(count(), 0)
+  clock.advance(1)
+  assert.is(count(), 1)
+})
+
 test('a timeout that is cancelled after a pause does not call back', () => {
   const { cancel, clock, count } = startTimeout(300)
   clock.pause(1_000)
--- a/packages/bendfall-node/src/runtime/BendfallNodeClock.ts
+++ b/packages/bendfall-node/src/runtime/BendfallNodeClock.ts
@@ -34,3 +34,6 @@
     }
   }
 }
+
+/** Clock of this process, for modules that are given none. */
+export const systemClock: Clock = createSystemClock()
--- a/packages/bendfall-node/src/runtime/BendfallNodeTimeout.ts
+++ b/packages/bendfall-node/src/runtime/BendfallNodeTimeout.ts
@@ -6,7 +6,7 @@
 import type { Clock } from './BendfallNodeClock.js'
 import type { Teardown } from './BendfallNodeTeardown.js'
 
-/** Intervals that a timeout is divided into; one in which the process stood still is repeated. */
+/** Intervals that a timeout is divided into; one in which the process stood still is extended. */
 const INTERVALS = 4
 
 /** Lower bound of an interval, since more timers would cost more than they tell. */
@@ -15,8 +15,11 @@
 /** Lateness of a timer from which the process counts as having stood still. */
 const PAUSE_MS = 15
 
-/** Intervals that are repeated at most, so that a process that is always late still times out. */
-const MAX_REPEATED_INTERVALS = 4
+/** Maximum time that a pause adds: enough to read a response that has arrived, or for one round trip. */
+const MAX_EXTENSION_MS = 100
+
+/** Pauses that extend a timeout at most, so that a process that is always late still times out. */
+const MAX_EXTENSIONS = 4
 
 /**
  * Calls back once a peer has not responded in time. The event loop runs timers before it reads
@@ -31,7 +34,7 @@
 export function scheduleTimeout (clock: Clock, timeoutMs: number, callback: () => void): Teardown {
   const intervalMs = Math.max(MIN_INTERVAL_MS, timeoutMs / INTERVALS)
   let leftMs = timeoutMs
-  let repeatsLeft = MAX_REPEATED_INTERVALS
+  let extensionsLeft = MAX_EXTENSIONS
   let cancel: Teardown
 
   function startInterval (): void {
@@ -41,9 +44,11 @@
   }
 
   function endInterval (lengthMs: number, lateMs: number): void {
-    const isRepeated = lateMs >= PAUSE_MS && repeatsLeft > 0
-    if (isRepeated) repeatsLeft -= 1
-    else leftMs -= lengthMs
+    leftMs -= lengthMs
+    if (lateMs >= PAUSE_MS && extensionsLeft > 0) {
+      extensionsLeft -= 1
+      leftMs += Math.min(lengthMs, MAX_EXTENSION_MS)
+    }
     if (leftMs > 0) startInterval()
     else callback()
   }
--- a/packages/bendfall-node/src/runtime/index.ts
+++ b/packages/bendfall-node/src/runtime/index.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { createSystemClock } from './BendfallNodeClock.js'
+export { createSystemClock, systemClock } from './BendfallNodeClock.js'
 export type { Clock } from './BendfallNodeClock.js'
 export { backoffMs, pause } from './BendfallNodePause.js'
 export { createRuntime } from './BendfallNodeRuntime.js'
--- a/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
@@ -9,14 +9,12 @@
 import type { DescMessage, DescMethodUnary, MessageInitShape, MessageShape } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
 import type { Http2SessionManager } from '@connectrpc/connect-node'
-import { createSystemClock, scheduleTimeout } from '../runtime/index.js'
+import { scheduleTimeout, systemClock } from '../runtime/index.js'
 import { joinSender, splitSender } from './BendfallNodeSenderHeaders.js'
 import { MAX_UNARY_BYTES, methodPath, UNARY_CONTENT_TYPE } from './BendfallNodeUnaryServer.js'
 
 const HEADERS = { 'content-type': UNARY_CONTENT_TYPE, 'connect-protocol-version': '1' }
 
-const CLOCK = createSystemClock()
-
 /** The peer certainly did not take the call, so another one may. */
 export class NotProcessedError extends Error {
   override readonly name = 'NotProcessedError'
@@ -59,7 +57,7 @@
     isGivenUp = true
     stream?.close(constants.NGHTTP2_CANCEL)
   }
-  const cancelTimeout = scheduleTimeout(CLOCK, options.timeoutMs, giveUp)
+  const cancelTimeout = scheduleTimeout(systemClock, options.timeoutMs, giveUp)
   options.signal?.addEventListener('abort', giveUp, { once: true })
   try {
     // The length tells the peer a whole message from one that was given up.
--- a/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPlain.ts
@@ -67,7 +67,7 @@
     lastEventId: request.lastEventId,
     isStream: request.route.kind === 'streaming',
     tryTimeoutMs: tryTimeoutMsOf(request, view)
-  }, { replica: replicaId, inFlight: view.inFlight, registrationsAgeMs: registrationsAgeMs(context), latencyMs: Math.round(view.latencyMs), failureShare: round(failureShareOf(view, context.nowMs)), attempt: request.attempt })
+  }, { replica: replicaId, inFlight: view.inFlight, registrationsAgeMs: registrationsAgeMs(context), latencyMs: Math.round(view.latencyMs), latencyAgeMs: latencyAgeMs(context, view), failureShare: round(failureShareOf(view, context.nowMs)), attempt: request.attempt })
   return undefined
 }
 
@@ -176,6 +176,10 @@
   return Math.max(MIN_TRY_TIMEOUT_MS, TRY_TIMEOUT_FACTOR * view.latencyMs)
 }
 
+function latencyAgeMs ({ nowMs }: RouterContext, { latencyAtMs }: ReplicaView): number | undefined {
+  return latencyAtMs === -Infinity ? undefined : Math.round(nowMs - latencyAtMs)
+}
+
 function round (share: number): number {
   return Math.round(share * 100) / 100
 }
