Replace an estimate that is only assumed by the first response time, even if that is zero

Its replicas answer in no time, so that the response time stayed 0, which means none, and the next sample was averaged with the assumed 40 ms.

--- a/packages/bendfall-node/src/runtime/BendfallNodeTimeout.ts
+++ b/packages/bendfall-node/src/runtime/BendfallNodeTimeout.ts
@@ -1,5 +1,5 @@
 /**
- * Timeouts of calls to peers that don't count the time in which this process stood still.
+ * Timeouts of calls to peers, which pauses of this process extend.
  *
  * @module
  */
--- a/packages/bendfall-router/src/entry/BendfallRouterEstimates.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEstimates.ts
@@ -28,7 +28,7 @@
 const MAX_FAILURE_SHARE = 0.9
 
 /**
- * Adds the response time of a request to the estimate; replaces one that is stale.
+ * Adds the response time of a request to the estimate; replaces one that is stale or only assumed.
  *
  * @param view - changed in place
  * @param sampleMs - time from the send to the end of the response
@@ -36,7 +36,8 @@
  */
 export function recordLatency (view: ReplicaView, sampleMs: number, nowMs: number): void {
   const previousMs = meanLatencyMs(view)
-  const weight = isStale(view, nowMs) ? 1 : SAMPLE_WEIGHT
+  const isReplaced = view.latencyMs === 0 || isStale(view, nowMs)
+  const weight = isReplaced ? 1 : SAMPLE_WEIGHT
   view.latencyMs = previousMs + weight * (Math.min(sampleMs, MAX_SAMPLE_RATIO * previousMs) - previousMs)
   view.latencyAtMs = nowMs
 }
