--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesRequestLimitNotices.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesRequestLimitNotices.test.ts
@@ -14,6 +14,7 @@
 /** Time from the start of all entries until a leader keeps the limits: longer than the lease of a leader elected in a previous era. */
 const LEADER_READY_MS = 3_500
 
+// Guards against entries that never call a limited replica, so that they neither learn its limit nor that it was lifted.
 test('no entry is bound by a limit two seconds after its replica lifted it', async () => {
   const stillBound: number[] = []
   await runLimitScenario({
