Test that streams never go on at another software version, failing

Three entries as processes, four decode and two prefill replicas, half of them of each version, callers that resume at another entry.

--- /dev/null
+++ b/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
@@ -0,0 +1,186 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import type { EdgeSettings } from 'bendfall-edge'
+import { startProcess } from '../../BendfallFakesDemoProcess.js'
+import type { ListeningProcess } from '../../BendfallFakesDemoProcess.js'
+import { createFleetConfig } from '../../fleet/BendfallFakesFleetConfig.js'
+import type { FleetReplica } from '../../fleet/BendfallFakesFleetReplica.js'
+import { startFleetReplica } from '../../fleet/BendfallFakesFleetReplica.js'
+import type { FleetStore } from '../../fleet/BendfallFakesFleetStore.js'
+import { startFleetStore } from '../../fleet/BendfallFakesFleetStore.js'
+import { ip } from './EntryHarness.js'
+import { callStream, VERSION_EVENTS, VERSION_HOST } from './VersionCaller.js'
+import type { CallerOptions, CallerStream } from './VersionCaller.js'
+
+const MAIN_MODULE = fileURLToPath(new URL('./BendfallPlatformMain.js', import.meta.resolve('bendfall')))
+
+const PEER_PORT = 17_380
+const CALLERS_PORT = 17_391
+const READY_PORT = 17_392
+const FIRST_REPLICA_OCTET = 11
+const EVENT_MS = 30
+const MEMORY_TOKENS = 60_000
+const CALLERS = 24
+const SETTLE_MS = 700
+const CONFIG = createFleetConfig({ host: VERSION_HOST, timeoutMs: 5_000, handleTtlS: 0.5, maxBodyBytes: 100_000 })
+
+/** Options of the fleet. */
+export interface VersionFleetOptions {
+  /** Whether a sidecar runs beside each replica. */
+  readonly hasSidecars?: boolean
+  /** Whether the last entry is cut off from the store, the sidecars and the other entries. */
+  readonly isLastIsolated?: boolean
+  /** Returns whether a replica breaks the next stream off. */
+  readonly breaksOff?: () => boolean
+}
+
+/** A registered replica. */
+export interface VersionReplica {
+  readonly replica: FleetReplica
+  readonly stage: 'prefill' | 'decode'
+  readonly softwareVersion: string
+  /** Announces that it leaves, and ends it some time later. */
+  readonly leave: () => Promise<void>
+}
+
+/** Three entries in front of replicas of two software versions. */
+export interface VersionFleet {
+  readonly entries: readonly string[]
+  readonly replicas: () => readonly VersionReplica[]
+  readonly addReplica: (stage: 'prefill' | 'decode', softwareVersion: string) => Promise<void>
+  /** Kills the processes of entries and starts them again. */
+  readonly killEntries: (indexes: readonly number[]) => Promise<void>
+}
+
+/** Streams of all callers, counted. */
+export interface VersionTally {
+  readonly streams: readonly CallerStream[]
+  /** Streams with events of two software versions. */
+  readonly mixed: number
+  /** Streams that were resumed. */
+  readonly resumed: number
+  /** Share of the resumed streams that went on, divided by the share of new streams that began. */
+  readonly goesOn: number
+}
+
+/** Runs a test with a fleet, which is closed in any case. */
+export async function withVersionFleet (options: VersionFleetOptions, run: (fleet: VersionFleet) => Promise<void>): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'bendfall-versions-'))
+  const closers: Array<() => Promise<void>> = []
+  try {
+    await run(await startVersionFleet(folder, options, closers))
+  } finally {
+    for (const close of closers.reverse()) await close()
+    rmSync(folder, { recursive: true })
+  }
+}
+
+async function startVersionFleet (folder: string, { breaksOff = () => false, hasSidecars = false, isLastIsolated = false }: VersionFleetOptions, closers: Array<() => Promise<void>>): Promise<VersionFleet> {
+  const stores: FleetStore[] = []
+  const running = new Set<VersionReplica>()
+  let nextReplica = 0
+  let isClosing = false
+
+  async function openStore (octet: number): Promise<FleetStore> {
+    const store = await startFleetStore(ip(octet))
+    store.put('op/config', CONFIG)
+    stores.push(store)
+    closers.push(() => store.close())
+    return store
+  }
+
+  async function startNode (role: 'entry' | 'sidecar', settings: EdgeSettings): Promise<ListeningProcess> {
+    const file = join(folder, `${settings.instanceId}.json`)
+    writeFileSync(file, JSON.stringify(settings))
+    const node = await startProcess(settings.instanceId, MAIN_MODULE, [role], { env: { BENDFALL_BOOT: file }, readyEvent: 'started' })
+    closers.push(() => kill(node))
+    return node
+  }
+
+  async function addReplica (stage: 'prefill' | 'decode', softwareVersion: string): Promise<void> {
+    const index = nextReplica++
+    const replicaId = `i-${index}`
+    const host = ip(FIRST_REPLICA_OCTET + index)
+    const replica = await startFleetReplica({ host, replicaId, stage, softwareVersion, events: VERSION_EVENTS, eventMs: EVENT_MS, memoryTokens: MEMORY_TOKENS, breaksOff })
+    closers.push(() => replica.close())
+    const register = (state: 'ready' | 'draining'): void => {
+      for (const store of stores) store.put(`servers/${replicaId}`, { born: replica.startedAtMs(), service: 'llm', address: replica.address, zone: 'a', version: softwareVersion, slots: 64, state, 'cold-remaining-ms': 0, stage, seq: state === 'ready' ? 1 : 2 })
+    }
+    if (hasSidecars) await startNode('sidecar', { instanceId: `sidecar-${index}`, availabilityZone: 'a', ip: host, peerPorts: [PEER_PORT, PEER_PORT + 9], keyValueAddress: (stores[0] as FleetStore).address, stopGraceS: 1, replicaAddress: replica.address })
+    register('ready')
+    const one: VersionReplica = {
+      replica,
+      stage,
+      softwareVersion,
+      leave: async () => {
+        running.delete(one)
+        register('draining')
+        await sleep(SETTLE_MS)
+        if (isClosing) return
+        for (const store of stores) store.remove(`servers/${replicaId}`)
+        replica.stop()
+      }
+    }
+    running.add(one)
+  }
+
+  await openStore(1)
+  if (isLastIsolated) await openStore(9)
+  for (const [stage, softwareVersion] of [['decode', 'v1'], ['decode', 'v2'], ['decode', 'v1'], ['decode', 'v2'], ['prefill', 'v1'], ['prefill', 'v2']] as const) await addReplica(stage, softwareVersion)
+  const settings = [0, 1, 2].map((index): EdgeSettings => {
+    const isIsolated = isLastIsolated && index === 2
+    const host = ip(2 + index)
+    const firstPort = isIsolated ? PEER_PORT - 100 : PEER_PORT
+    return { instanceId: `entry-${index}`, availabilityZone: 'a', ip: host, peerPorts: [firstPort, firstPort + 9], keyValueAddress: (stores[isIsolated ? 1 : 0] as FleetStore).address, stopGraceS: 1, callersListen: `${host}:${CALLERS_PORT}`, readyListen: `${host}:${READY_PORT}` }
+  })
+  const entries = await Promise.all(settings.map((one) => startNode('entry', one)))
+  await sleep(SETTLE_MS)
+  closers.push(async () => { isClosing = true })
+  return {
+    entries: settings.map(({ callersListen }) => callersListen as string),
+    replicas: () => [...running],
+    addReplica,
+    killEntries: async (indexes) => {
+      await Promise.all(indexes.map(async (index) => {
+        await kill(entries[index] as ListeningProcess)
+        entries[index] = await startNode('entry', settings[index] as EdgeSettings)
+      }))
+    }
+  }
+}
+
+async function kill (node: ListeningProcess): Promise<void> {
+  node.signal('SIGKILL')
+  await node.exited
+}
+
+/**
+ * Runs callers until a time and counts their streams.
+ *
+ * @param fleet - fleet whose entries the callers use in turn
+ * @param durationMs - time during which new streams begin
+ * @param options - whether callers break off
+ * @returns the streams and their counts
+ */
+export async function runCallers ({ entries }: Pick<VersionFleet, 'entries'>, durationMs: number, options: Omit<CallerOptions, 'entries'> = {}): Promise<VersionTally> {
+  const endsAtMs = performance.now() + durationMs
+  const streams: CallerStream[] = []
+  await Promise.all(Array.from({ length: CALLERS }, async (_, index) => {
+    for (let turn = index; performance.now() < endsAtMs; turn += 1) {
+      const first = turn % entries.length
+      streams.push(await callStream({ ...options, entries: [...entries.slice(first), ...entries.slice(0, first)] }))
+    }
+  }))
+  const resumed = streams.filter(({ isResumed }) => isResumed)
+  const begun = streams.filter(({ isBegun }) => isBegun)
+  const shareGoneOn = resumed.filter(({ hasGoneOn }) => hasGoneOn).length / Math.max(1, resumed.length)
+  return {
+    streams,
+    mixed: streams.filter(({ softwareVersions }) => softwareVersions.size > 1).length,
+    resumed: resumed.length,
+    goesOn: shareGoneOn / (begun.length / Math.max(1, streams.length))
+  }
+}
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -14,6 +14,8 @@
   readonly host: string
   readonly replicaId: string
   readonly stage?: 'prefill' | 'decode'
+  /** Version of its software, which each event of a stream names; absent: events name none. */
+  readonly softwareVersion?: string
   readonly memoryTokens?: number
   /** Number of events in a streamed response. */
   readonly events?: number
@@ -22,6 +24,8 @@
   readonly responseDelayMs?: number
   /** Returns whether a request crashes the process shortly after it started to run, without a response. */
   readonly crashesOn?: (request: SeenRequest) => boolean
+  /** Returns whether the stream of a request is broken off halfway. */
+  readonly breaksOff?: (request: SeenRequest) => boolean
   /** Called after the simulated process has crashed. */
   readonly onCrash?: () => void
   /** Whether the process restarts under the same id immediately after a crash. */
@@ -120,7 +124,7 @@
  * @returns the replica once it listens
  */
 export async function startFleetReplica (options: FleetReplicaOptions): Promise<FleetReplica> {
-  const { responseDelayMs = 0, crashesOn = () => false, eventMs = 5, events = 6, restartsAfterCrash = false, memoryTokens = 20_000, onCrash = () => {}, replicaId } = options
+  const { responseDelayMs = 0, breaksOff = () => false, crashesOn = () => false, eventMs = 5, events = 6, restartsAfterCrash = false, softwareVersion, memoryTokens = 20_000, onCrash = () => {}, replicaId } = options
   const seen: SeenRequest[] = []
   const orders: SeenOrder[] = []
   const runs = new Map<string, Run>()
@@ -230,7 +234,7 @@
       return
     }
     response.writeHead(200, headers)
-    stream(seenRequest, promptTokens(request), Number(request.headers['last-event-id'] ?? 0), response, fault === 'break_off')
+    stream(seenRequest, promptTokens(request), Number(request.headers['last-event-id'] ?? 0), response, fault === 'break_off' || breaksOff(seenRequest))
   }
 
   function stream (seenRequest: SeenRequest, promptLength: number, after: number, response: ServerResponse, isTruncated: boolean): void {
@@ -240,7 +244,7 @@
     const timer = setInterval(() => {
       state.events += 1
       state.tokens += TOKENS_PER_EVENT
-      response.write(`id: ${state.events}\ndata: piece ${state.events}\n\n`)
+      response.write(`id: ${state.events}\ndata: piece ${state.events}${softwareVersion === undefined ? '' : ` by ${softwareVersion}`}\n\n`)
       if (isTruncated && state.events >= events / 2) response.destroy()
       if (state.events >= events) response.end()
     }, eventMs)
@@ -292,6 +296,7 @@
       handles.delete(path.slice('/api/kv-handle/'.length))
       return sendJson(response, 200, {})
     }
+    if (path === '/api/hold-take') return sendJson(response, 404, {})
     if ((request.headers['x-expect-instance'] ?? replicaId) !== replicaId) return sendMisdirected(request, response)
     if (path === '/api/order') {
       return sendJson(response, handleOrder(JSON.parse(body.toString()) as Omit<SeenOrder, 'atMs'>), {})
