--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
@@ -150,6 +150,12 @@
   assert.is(only(answerOrigin(simulation, '1', { type: 'unknown', silentHolders: 0 }), 'refuse').reason, 'origin_unknown')
 })
 
+test('a stream whose caller names no first request goes on where one version alone is known', () => {
+  const sole = createFleet([replicaOf('p1', 'prefill'), replicaOf('d1', 'decode')])
+  assert.is(only(resume(sole, '1', { lastEventId: '4' }), 'reserve').replicaId, 'd1')
+  assert.is(only(resume(createFleet(), '1', { lastEventId: '4' }), 'refuse').reason, 'origin_unknown')
+})
+
 test('a resumed stream stays at the service that began it', () => {
   const services = [{ service: 'llm', weight: 1 }, { service: 'other', weight: 99 }]
   const config = configOf(1, [{ ...ROUTE, services }])
--- a/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
+import { onlySoftware, soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
 import { findOrigin, recordOrigin } from '../streams/BendfallRouterStreamOrigins.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 import { startAllotment } from './BendfallRouterAllotment.js'
@@ -22,10 +22,10 @@
 /** `Retry-After` while all replicas with the software only prefill prompts. */
 const NO_REPLICA_RETRY_MS = 1_000
 
-/** Lower bound of the time within which a caller may still resume a stream. */
+/** Lower bound of the time from the begin of a stream until its caller gives up. */
 const MIN_RESUMABLE_MS = 20_000
 
-/** The same as a multiple of the route's timeout: the run that is resumed, and those before it. */
+/** The same as a multiple of the route's timeout. */
 const RESUMABLE_TIMEOUT_FACTOR = 2
 
 /**
@@ -48,7 +48,7 @@
  */
 export function startOrigin (context: RouterContext, request: RequestState): NextStep {
   const { resumedRequestId } = request
-  if (resumedRequestId === undefined) return inferOrigin(context, request)
+  if (resumedRequestId === undefined) return assumeOrigin(context, request)
   const known = findOrigin(context.state.origins, resumedRequestId)
   if (known !== undefined) return requireSoftware(context, request, known, 'own')
   request.phase = 'origin'
@@ -103,8 +103,22 @@
   return undefined
 }
 
-function findSoleSoftware ({ nowMs, state }: RouterContext, { route, service }: RequestState): SoftwareDigest | undefined {
-  const sinceMs = nowMs - Math.max(MIN_RESUMABLE_MS, RESUMABLE_TIMEOUT_FACTOR * route.timeoutMs)
+// Some callers do not name the request that began their stream, so that nobody can be asked. They are
+// served while this process has known one version only, however short the time.
+function assumeOrigin (context: RouterContext, request: RequestState): NextStep {
+  const sole = onlySoftware(context.state.softwareHistory, request.service, beginsAfterMs(request))
+  return sole === undefined ? refuseUnknownOrigin(request) : requireSoftware(context, request, sole, 'sole_version')
+}
+
+// The earliest begin of a stream whose caller still waits until the deadline.
+function beginsAfterMs ({ deadlineAtMs, route }: RequestState): number {
+  return deadlineAtMs - Math.max(MIN_RESUMABLE_MS, RESUMABLE_TIMEOUT_FACTOR * route.timeoutMs)
+}
+
+function findSoleSoftware (context: RouterContext, request: RequestState): SoftwareDigest | undefined {
+  const { state } = context
+  const { route, service } = request
+  const sinceMs = beginsAfterMs(request)
   const isRouteUnchanged = (state.routedSinceMs.get(route.name)?.sinceMs ?? Infinity) <= sinceMs
   return route.services.length === 1 && isRouteUnchanged ? soleSoftware(state.softwareHistory, service, sinceMs) : undefined
 }
