Keep two decode replicas of each software version while several serve

The pool balancer chose replicas by availability zone alone, so that it could order the last decode replicas of a version whose streams are open to the prefill pool; those streams were refused then. With one version the choice is the one before.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPoolFleet.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPoolFleet.test.ts
@@ -131,7 +131,7 @@
 })
 
 function membersOf (prefills: number, decodes: number, unavailable = 0): PoolMember[] {
-  return fleetOf(prefills, decodes).map(({ availabilityZone, replicaId, stage }, i) => ({ replicaId, availabilityZone, stage, isServing: i >= unavailable, isLeaving: false }))
+  return fleetOf(prefills, decodes).map(({ availabilityZone, replicaId, stage }, i) => ({ replicaId, availabilityZone, softwareVersion: 'v1', stage, isServing: i >= unavailable, isLeaving: false }))
 }
 
 test('one unhealthy replica of 84 does not prevent changes, five do', () => {
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterPools.test.ts
@@ -10,7 +10,7 @@
 
 function membersOf (prefills: number, decodes: number): PoolMember[] {
   const create = (count: number, stage: 'prefill' | 'decode'): PoolMember[] =>
-    Array.from({ length: count }, (_, i) => ({ replicaId: `${stage}-${i}`, availabilityZone: i % 2 === 0 ? 'a' : 'b', stage, isServing: true, isLeaving: false }))
+    Array.from({ length: count }, (_, i) => ({ replicaId: `${stage}-${i}`, availabilityZone: i % 2 === 0 ? 'a' : 'b', softwareVersion: 'v1', stage, isServing: true, isLeaving: false }))
   return [...create(prefills, 'prefill'), ...create(decodes, 'decode')]
 }
 
@@ -35,6 +35,21 @@
   assert.is(balancePools(membersOf(2, 6), { prefill: 2.4, decode: 1 }, INTENT)[0]?.stage, 'prefill')
 })
 
+test('a software version keeps two decode replicas while several versions serve', () => {
+  const members = membersOf(2, 6).map((member) => ({ ...member, softwareVersion: ['decode-0', 'decode-2'].includes(member.replicaId) ? 'v1' : 'v2' }))
+  for (let work = 2; work < 4; work += 0.2) {
+    const [change] = balancePools(members, { prefill: work, decode: 1 }, INTENT)
+    assert.not(['decode-0', 'decode-2'].includes(change?.replicaId ?? ''))
+  }
+  const scarce = members.filter(({ replicaId, softwareVersion }) => softwareVersion === 'v1' || ['decode-1', 'decode-3', 'prefill-0'].includes(replicaId))
+  assert.equal(balancePools(scarce, { prefill: 3, decode: 0.2 }, { ...INTENT, usualPrefillShare: 0.5 }), [])
+})
+
+test('the decode pool gets a replica of a software version that lacks one', () => {
+  const members = membersOf(4, 4).map((member) => ({ ...member, softwareVersion: member.replicaId === 'prefill-3' ? 'v1' : 'v2' }))
+  assert.equal(balancePools(members, { prefill: 0.5, decode: 3.8 }, INTENT), [{ replicaId: 'prefill-3', stage: 'decode' }])
+})
+
 test('pools with little load do not change', () => {
   assert.equal(balancePools(membersOf(4, 4), { prefill: 0.2, decode: 2 }, INTENT), [])
 })
@@ -89,7 +104,7 @@
 test('the decode pool is never empty while a replica is serving', () => {
   const states = fc.constantFrom('serving', 'sick', 'leaving', 'gone')
   fc.assert(fc.property(fc.array(fc.record({ stage: fc.constantFrom('prefill' as const, 'decode' as const), state: states }), { maxLength: 8 }), (replicas) => {
-    const members = replicas.flatMap(({ stage, state }, i) => state === 'gone' ? [] : [{ replicaId: `r${i}`, availabilityZone: 'a', stage, isServing: state === 'serving', isLeaving: state === 'leaving' }])
+    const members = replicas.flatMap(({ stage, state }, i) => state === 'gone' ? [] : [{ replicaId: `r${i}`, availabilityZone: 'a', softwareVersion: 'v1', stage, isServing: state === 'serving', isLeaving: state === 'leaving' }])
     const changes = balancePools(members, { prefill: 0, decode: 0 }, INTENT)
     const stageAfter = ({ replicaId, stage }: PoolMember): string => changes.find((change) => change.replicaId === replicaId)?.stage ?? stage
     const staying = members.filter(({ isLeaving }) => !isLeaving)
--- a/packages/bendfall-router/src/entry/BendfallRouterPools.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPools.ts
@@ -153,6 +153,7 @@
   return {
     replicaId: replica.replicaId,
     availabilityZone: replica.availabilityZone,
+    softwareVersion: replica.softwareVersion,
     stage: stageOf(view),
     // A replica whose load is not known yet counts as serving.
     isServing: load?.isHealthy !== false && isAcceptingRequests(context, view) && suspectUntilMs <= nowMs,
--- a/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
+++ b/packages/bendfall-router/src/pools/BendfallRouterPoolBalance.ts
@@ -11,6 +11,7 @@
 export interface PoolMember {
   readonly replicaId: string
   readonly availabilityZone: string
+  readonly softwareVersion: string
   readonly stage: ReplicaStage
   /** Whether it responds, isn't draining and isn't changing its stage. */
   readonly isServing: boolean
@@ -42,6 +43,9 @@
 /** Minimum replicas in each pool. */
 const MIN_POOL_SIZE = 1
 
+/** Decode replicas that each software version keeps while several serve: no other replica continues its streams. */
+const MIN_DECODES_OF_SOFTWARE = 2
+
 /**
  * Maximum share of the replicas that may be unavailable, unhealthy or changing while others change. In a
  * fleet of less than twenty, each unavailable replica is a large part of its pool and is back
@@ -78,9 +82,9 @@
   const goal = isIdle(work) ? clampPrefills(Math.floor(serving.length * intent.usualPrefillShare), serving.length, intent) : goalUnderLoad(prefills.length, serving.length, work, intent)
   const target = stepTowards(prefills.length, goal, serving.length, MAX_STEP_SHARE)
   const surplus = prefills.length - target
-  if (surplus > 0) return pickMembers(prefills, surplus).map(({ replicaId }) => ({ replicaId, stage: 'decode' }))
   const decodes = serving.filter(({ stage }) => stage === 'decode')
-  return pickMembers(decodes, -surplus).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
+  if (surplus > 0) return pickForDecode(prefills, decodes, surplus).map(({ replicaId }) => ({ replicaId, stage: 'decode' }))
+  return pickForPrefill(decodes, -surplus).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
 }
 
 /**
@@ -107,7 +111,8 @@
   const has = (stage: ReplicaStage): boolean => staying.some((member) => member.stage === stage)
   if (!has('decode')) return pickMembers(serving, 1).map(({ replicaId }) => ({ replicaId, stage: 'decode' }))
   if (has('prefill') || serving.length < 2 * MIN_POOL_SIZE) return []
-  return pickMembers(serving, 1).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
+  const spare = pickForPrefill(serving, 1)
+  return (spare.length > 0 ? spare : pickMembers(serving, 1)).map(({ replicaId }) => ({ replicaId, stage: 'prefill' }))
 }
 
 // Moves away from the present split only for a clear gain.
@@ -136,6 +141,35 @@
   return Math.max(min, Math.min(Math.max(min, max), prefills))
 }
 
+// Leaves each software version enough decode replicas to continue its streams.
+function pickForPrefill (decodes: readonly PoolMember[], count: number): PoolMember[] {
+  const sizes = countByVersion(decodes)
+  if (sizes.size <= 1) return pickMembers(decodes, count)
+  const picked: PoolMember[] = []
+  for (let remaining = decodes; picked.length < count;) {
+    const [next] = pickMembers(remaining.filter(({ softwareVersion }) => (sizes.get(softwareVersion) ?? 0) > MIN_DECODES_OF_SOFTWARE), 1)
+    if (next === undefined) break
+    picked.push(next)
+    sizes.set(next.softwareVersion, (sizes.get(next.softwareVersion) ?? 0) - 1)
+    remaining = remaining.filter((member) => member !== next)
+  }
+  return picked
+}
+
+// Prefers software versions that lack decode replicas.
+function pickForDecode (prefills: readonly PoolMember[], decodes: readonly PoolMember[], count: number): PoolMember[] {
+  const sizes = countByVersion(decodes)
+  const isScarce = ({ softwareVersion }: PoolMember): boolean => (sizes.get(softwareVersion) ?? 0) < MIN_DECODES_OF_SOFTWARE
+  const scarce = pickMembers(prefills.filter(isScarce), count)
+  return [...scarce, ...pickMembers(prefills.filter((member) => !isScarce(member)), count - scarce.length)]
+}
+
+function countByVersion (members: readonly PoolMember[]): Map<string, number> {
+  const sizes = new Map<string, number>()
+  for (const { softwareVersion } of members) sizes.set(softwareVersion, (sizes.get(softwareVersion) ?? 0) + 1)
+  return sizes
+}
+
 // Picks from the availability zones with the most members, so that each zone keeps some.
 function pickMembers (members: readonly PoolMember[], count: number): PoolMember[] {
   const remaining = [...members]
--- a/packages/bendfallctl/src/BendfallctlPools.ts
+++ b/packages/bendfallctl/src/BendfallctlPools.ts
@@ -63,6 +63,6 @@
 
 function createMembers ({ decodes, prefills }: PoolCounts): PoolMember[] {
   const createStage = (count: number, stage: 'prefill' | 'decode'): PoolMember[] =>
-    Array.from({ length: count }, (_, index) => ({ replicaId: `${stage}-${index}`, availabilityZone: '', stage, isServing: true, isLeaving: false }))
+    Array.from({ length: count }, (_, index) => ({ replicaId: `${stage}-${index}`, availabilityZone: '', softwareVersion: '', stage, isServing: true, isLeaving: false }))
   return [...createStage(prefills, 'prefill'), ...createStage(decodes, 'decode')]
 }
