Soak streams that callers resume while software versions replace one another

Every second seed disturbs replicas only; there the share that goes on is judged.

The stand-in broke a resumed stream off at half of the whole stream, behind its last event, so that it delivered nothing; now at half of what is left.

--- a/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
@@ -12,8 +12,11 @@
 import type { FleetStore } from '../../fleet/BendfallFakesFleetStore.js'
 import { startFleetStore } from '../../fleet/BendfallFakesFleetStore.js'
 import { ip } from './EntryHarness.js'
-import { callStream, VERSION_EVENTS, VERSION_HOST } from './VersionCaller.js'
-import type { CallerOptions, CallerStream } from './VersionCaller.js'
+import { callStream, findStreamViolation, shareGoneOn } from '../../fleet/soak/BendfallFakesStreamCaller.js'
+import type { CallerOptions, CallerStream } from '../../fleet/soak/BendfallFakesStreamCaller.js'
+
+const VERSION_HOST = 'versions.example'
+const VERSION_EVENTS = 14
 
 const MAIN_MODULE = fileURLToPath(new URL('./BendfallPlatformMain.js', import.meta.resolve('bendfall')))
 
@@ -51,6 +54,8 @@
   readonly entries: readonly string[]
   readonly replicas: () => readonly VersionReplica[]
   readonly addReplica: (stage: 'prefill' | 'decode', softwareVersion: string) => Promise<void>
+  /** Returns why the entries ended resumed streams without a replica's response, with counts. */
+  readonly refusalReasons: () => string
   /** Kills the processes of entries and starts them again. */
   readonly killEntries: (indexes: readonly number[]) => Promise<void>
 }
@@ -60,6 +65,8 @@
   readonly streams: readonly CallerStream[]
   /** Streams with events of two software versions. */
   readonly mixed: number
+  /** Streams with events that are mixed, missing, duplicated or out of order. */
+  readonly violations: readonly string[]
   /** Streams that were resumed. */
   readonly resumed: number
   /** Share of the resumed streams that went on, divided by the share of new streams that began. */
@@ -143,6 +150,7 @@
     entries: settings.map(({ callersListen }) => callersListen as string),
     replicas: () => [...running],
     addReplica,
+    refusalReasons: () => countReasons(entries.flatMap(({ lines }) => lines)),
     killEntries: async (indexes) => {
       await Promise.all(indexes.map(async (index) => {
         await kill(entries[index] as ListeningProcess)
@@ -152,35 +160,43 @@
   }
 }
 
+function countReasons (lines: readonly string[]): string {
+  const resumed = new Set(lines.flatMap((line) => /event=admitted .*request=(\S+) .*resumedRequestId=/.exec(line)?.[1] ?? []))
+  const counts = new Map<string, number>()
+  for (const line of lines) {
+    const [, request, reason] = /event=(?:refused|cut) .*request=(\S+) .*reason=(\S+)/.exec(line) ?? []
+    if (request === undefined || reason === undefined || !resumed.has(request)) continue
+    counts.set(reason, (counts.get(reason) ?? 0) + 1)
+  }
+  return [...counts].map(([reason, count]) => `${reason} ${count}`).join(', ')
+}
+
 async function kill (node: ListeningProcess): Promise<void> {
   node.signal('SIGKILL')
   await node.exited
 }
 
 /**
- * Runs callers until a time and counts their streams.
+ * Runs callers and counts their streams.
  *
  * @param fleet - fleet whose entries the callers use in turn
- * @param durationMs - time during which new streams begin
+ * @param isOver - whether no more streams begin
  * @param options - whether callers break off
  * @returns the streams and their counts
  */
-export async function runCallers ({ entries }: Pick<VersionFleet, 'entries'>, durationMs: number, options: Omit<CallerOptions, 'entries'> = {}): Promise<VersionTally> {
-  const endsAtMs = performance.now() + durationMs
+export async function runCallers ({ entries }: Pick<VersionFleet, 'entries'>, isOver: () => boolean, options: Pick<CallerOptions, 'leavesAfter'> = {}): Promise<VersionTally> {
   const streams: CallerStream[] = []
   await Promise.all(Array.from({ length: CALLERS }, async (_, index) => {
-    for (let turn = index; performance.now() < endsAtMs; turn += 1) {
+    for (let turn = index; !isOver(); turn += 1) {
       const first = turn % entries.length
-      streams.push(await callStream({ ...options, entries: [...entries.slice(first), ...entries.slice(0, first)] }))
+      streams.push(await callStream({ ...options, host: VERSION_HOST, name: `caller-${index}-${turn}`, entries: [...entries.slice(first), ...entries.slice(0, first)] }))
     }
   }))
-  const resumed = streams.filter(({ isResumed }) => isResumed)
-  const begun = streams.filter(({ isBegun }) => isBegun)
-  const shareGoneOn = resumed.filter(({ hasGoneOn }) => hasGoneOn).length / Math.max(1, resumed.length)
   return {
     streams,
     mixed: streams.filter(({ softwareVersions }) => softwareVersions.size > 1).length,
-    resumed: resumed.length,
-    goesOn: shareGoneOn / (begun.length / Math.max(1, streams.length))
+    violations: streams.flatMap((stream) => findStreamViolation(stream, VERSION_EVENTS) ?? []),
+    resumed: streams.filter(({ isResumed }) => isResumed).length,
+    goesOn: shareGoneOn(streams)
   }
 }
--- a/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
+++ b/packages/bendfall-fakes/src/fleet/BendfallFakesFleetReplica.ts
@@ -100,6 +100,8 @@
   readonly startedAtMs: () => number
   /** Restarts the process under the same id and address: its state is lost and its connections are reset. */
   readonly restart: () => void
+  /** Replaces the process at its address by one with another id and software version. */
+  readonly replace: (replicaId: string, softwareVersion: string) => void
   /** Crashes the process: connections are reset and, unless it restarts, new ones are refused. */
   readonly crash: () => void
   /** @returns the number of streams in progress */
@@ -124,7 +126,7 @@
  * @returns the replica once it listens
  */
 export async function startFleetReplica (options: FleetReplicaOptions): Promise<FleetReplica> {
-  const { responseDelayMs = 0, breaksOff = () => false, crashesOn = () => false, eventMs = 5, events = 6, restartsAfterCrash = false, softwareVersion, memoryTokens = 20_000, onCrash = () => {}, replicaId } = options
+  const { responseDelayMs = 0, breaksOff = () => false, crashesOn = () => false, eventMs = 5, events = 6, restartsAfterCrash = false, memoryTokens = 20_000, onCrash = () => {} } = options
   const seen: SeenRequest[] = []
   const orders: SeenOrder[] = []
   const runs = new Map<string, Run>()
@@ -138,7 +140,7 @@
   let limitText: string | undefined
   const limits: AdvertisedLimit[] = []
   const controlCallsAtMs: number[] = []
-  let { stage } = options
+  let { replicaId, softwareVersion, stage } = options
   let nextHandle = 1
   let startedAtMs = Date.now()
 
@@ -245,7 +247,7 @@
       state.events += 1
       state.tokens += TOKENS_PER_EVENT
       response.write(`id: ${state.events}\ndata: piece ${state.events}${softwareVersion === undefined ? '' : ` by ${softwareVersion}`}\n\n`)
-      if (isTruncated && state.events >= events / 2) response.destroy()
+      if (isTruncated && state.events >= (after + events) / 2) response.destroy()
       if (state.events >= events) response.end()
     }, eventMs)
     response.once('close', () => clearInterval(timer))
@@ -317,6 +319,11 @@
     stage: () => stage,
     startedAtMs: () => startedAtMs,
     restart,
+    replace: (newReplicaId, newSoftwareVersion) => {
+      replicaId = newReplicaId
+      softwareVersion = newSoftwareVersion
+      restart()
+    },
     crash,
     running: () => runs.size,
     failNext: (fault) => { faults.push(fault) },
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -10,11 +10,13 @@
 import { call, findResponseViolation } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
 import type { SeenOrder } from '../BendfallFakesFleetReplica.js'
-import { ALL_FAULTS, CUSTOMER_FAULTS, DRILL_FAULTS, injectFault, LEAVING_FAULTS, LIMIT_FAULTS, NOTICE_FAULTS } from './BendfallFakesSoakFaults.js'
+import { ALL_FAULTS, CUSTOMER_FAULTS, DRILL_FAULTS, injectFault, LEAVING_FAULTS, LIMIT_FAULTS, NOTICE_FAULTS, REPLACEMENT_FAULTS, VERSION_FAULTS } from './BendfallFakesSoakFaults.js'
 import { createSoakCustomers, findLeakedKeys, STEADY_KEY } from './BendfallFakesSoakCustomers.js'
 import { POISON_PATH, SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
-import type { SoakFleet } from './BendfallFakesSoakFleet.js'
+import type { SoakFleet, SoakFleetOptions } from './BendfallFakesSoakFleet.js'
 import { findCrashViolations, findExcessInBackoff, findLateToLeaving } from './BendfallFakesSoakNotices.js'
+import { callStream, findStreamViolation, shareGoneOn } from './BendfallFakesStreamCaller.js'
+import type { CallerStream } from './BendfallFakesStreamCaller.js'
 import { findOverLimit } from './BendfallFakesSoakLimits.js'
 import type { IsEntryUndisturbed } from './BendfallFakesSoakLimits.js'
 import type { IsUndisturbed, NoticeEvidence } from './BendfallFakesSoakNotices.js'
@@ -23,13 +25,16 @@
  * Set of faults that a soak draws from: `faults` for general faults, `drills` for a store restored
  * from backups, `notices` for replicas that report that they leave or back off while a request crashes each
  * replica that runs it, `limits` for limits that replicas advertise on the total request rate of all entries,
- * `customers` for API keys that are revoked and reissued and a customer that exceeds its limit.
+ * `versions` for replicas of two software versions that replace one another while callers resume streams at
+ * other entries, `customers` for API keys that are revoked and reissued and a customer that exceeds its limit.
  */
-export type SoakPlan = 'customers' | 'faults' | 'drills' | 'limits' | 'notices'
+export type SoakPlan = 'customers' | 'faults' | 'drills' | 'limits' | 'notices' | 'versions'
 
 /** Result of a soak. */
 export interface SoakResult {
   readonly calls: number
+  /** Counts of the streams that callers resume; absent where none do. */
+  readonly streams?: string
   readonly answered: number
   readonly refused: number
   /** Number of stage orders that reached replicas. */
@@ -70,6 +75,17 @@
 /** Plans whose checks need this many callers. */
 const HIGH_LOAD_PLANS: ReadonlySet<SoakPlan> = new Set(['limits', 'notices'])
 
+const STREAM_CALLERS = 16
+
+/** Events after which callers break off; undefined: they stay. */
+const LEAVES_AFTER = [undefined, undefined, 1, 6, 15, 23] as const
+
+/** Minimum share of the resumed streams that go on, relative to the share of new ones that begin. */
+const MIN_GONE_ON = 0.5
+
+/** Minimum number of resumed streams for which that share is judged. */
+const MIN_RESUMED = 12
+
 const CALL_PAUSE_MS = 30
 const POISON_PAUSE_MS = 300
 const FAULT_SERIES = 2
@@ -91,7 +107,22 @@
   drills: () => DRILL_FAULTS,
   limits: () => LIMIT_FAULTS,
   faults: (seed) => seed % LEAVING_SEED_STEP === 0 ? LEAVING_FAULTS : ALL_FAULTS,
-  notices: () => NOTICE_FAULTS
+  notices: () => NOTICE_FAULTS,
+  versions: (seed) => isCalm(seed) ? REPLACEMENT_FAULTS : VERSION_FAULTS
+}
+
+const VERSIONS_FLEET: SoakFleetOptions = {
+  entries: 3,
+  models: [
+    ...['v1', 'v2'].map((softwareVersion) => ({ stage: 'prefill' as const, softwareVersion })),
+    ...['v1', 'v2', 'v1', 'v2', 'v1', 'v2'].map((softwareVersion) => ({ stage: 'decode' as const, softwareVersion }))
+  ],
+  poolIntent: { usualPrefillShare: 0.25, leastPrefillShare: 0.1, leastPrefillReplicas: 1, mostPrefillShare: 0.4 }
+}
+
+const FLEETS_BY_PLAN: Readonly<Partial<Record<SoakPlan, () => SoakFleetOptions>>> = {
+  customers: () => ({ customers: createSoakCustomers() }),
+  versions: () => VERSIONS_FLEET
 }
 
 /**
@@ -103,8 +134,9 @@
  * @returns counts, violations and their evidence
  */
 export async function soakFleet (seed: number, seconds: number, plan: SoakPlan = 'faults'): Promise<SoakResult> {
-  const fleet = await startSoakFleet(plan === 'customers' ? createSoakCustomers() : undefined)
+  const fleet = await startSoakFleet(FLEETS_BY_PLAN[plan]?.() ?? {})
   const records: CallRecord[] = []
+  const streams: CallerStream[] = []
   const faults: SoakFault[] = []
   const names = FAULTS_BY_PLAN[plan](seed)
   try {
@@ -113,15 +145,16 @@
     const isOver = (): boolean => performance.now() >= endsAtMs
     await Promise.all([
       ...Array.from({ length: HIGH_LOAD_PLANS.has(plan) ? HIGH_LOAD_CALLERS : CALLERS }, (_, index) => runCaller(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver)),
+      ...Array.from({ length: plan === 'versions' ? STREAM_CALLERS : 0 }, (_, index) => runStreamCaller(fleet, `stream-${seed}-${index}`, createDraw(seed * STREAM_CALLERS + index), streams, isOver)),
       ...(plan === 'notices' ? [sendPoison(fleet, seed, records, isOver)] : []),
       ...Array.from({ length: FAULT_SERIES }, (_, index) => injectFaults(fleet, createDraw(seed * FAULT_SERIES + index), names, faults, isOver))
     ])
     const evidence = { fleet, records, isUndisturbed: createUndisturbedCheck(faults) }
-    const violations = [...findViolations(fleet, records), ...findCustomerViolations(fleet, records), ...findLateArrivals(evidence), ...findLateToLeaving(evidence), ...findExcessInBackoff(evidence), ...findCrashViolations(evidence), ...findOverLimit(fleet, records, createEntryUndisturbedCheck(fleet, faults)), ...findFencingViolations(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findUnreleased(fleet)]
+    const violations = [...findStreamViolations(streams, plan === 'versions' && isCalm(seed)), ...findViolations(fleet, records), ...findCustomerViolations(fleet, records), ...findLateArrivals(evidence), ...findLateToLeaving(evidence), ...findExcessInBackoff(evidence), ...findCrashViolations(evidence), ...findOverLimit(fleet, records, createEntryUndisturbedCheck(fleet, faults)), ...findFencingViolations(fleet.models.flatMap(({ replica }) => replica.orders)), ...await findUnrecovered(fleet, seed), ...await findUnreleased(fleet)]
     const answered = records.filter(({ isComplete, status }) => status === 200 && isComplete).length
     const refused = records.filter(({ status }) => NOT_RUN_STATUSES.has(status)).length
     const orders = fleet.models.reduce((sum, { replica }) => sum + replica.orders.length, 0)
-    return { calls: records.length, answered, refused, orders, faults: faults.map(describeFault), violations, evidence: findEvidence(fleet, violations) }
+    return { calls: records.length, streams: countStreams(streams), answered, refused, orders, faults: faults.map(describeFault), violations, evidence: findEvidence(fleet, violations) }
   } finally {
     await fleet.close()
   }
@@ -135,6 +168,32 @@
   }
 }
 
+// Every second seed disturbs only replicas, so that streams must go on as often as new ones begin.
+function isCalm (seed: number): boolean {
+  return seed % 2 === 0
+}
+
+async function runStreamCaller ({ entries }: SoakFleet, name: string, draw: Draw, streams: CallerStream[], isOver: () => boolean): Promise<void> {
+  for (let i = 0; !isOver(); i++) {
+    const first = entries.indexOf(draw(entries))
+    streams.push(await callStream({ host: SOAK_HOST, name: `${name}-${i}`, entries: [...entries.slice(first), ...entries.slice(0, first)], leavesAfter: draw(LEAVES_AFTER) }))
+    await sleep(CALL_PAUSE_MS)
+  }
+}
+
+function findStreamViolations (streams: readonly CallerStream[], mustGoOn: boolean): string[] {
+  const violations = streams.flatMap((stream) => findStreamViolation(stream, SOAK_EVENTS) ?? [])
+  const resumed = streams.filter(({ isResumed }) => isResumed).length
+  const isLost = mustGoOn && resumed >= MIN_RESUMED && shareGoneOn(streams) < MIN_GONE_ON
+  return isLost ? [...violations, `streams: ${shareGoneOn(streams).toFixed(2)} of ${resumed} go on`] : violations
+}
+
+function countStreams (streams: readonly CallerStream[]): string | undefined {
+  if (streams.length === 0) return undefined
+  const resumed = streams.filter(({ isResumed }) => isResumed).length
+  return `${streams.length} streams, ${resumed} resumed, ${shareGoneOn(streams).toFixed(2)} of these go on`
+}
+
 async function sendPoison (fleet: SoakFleet, seed: number, records: CallRecord[], isOver: () => boolean): Promise<void> {
   const draw = createDraw(seed)
   for (let i = 0; !isOver(); i++) {
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -8,7 +8,7 @@
 import type { FleetReplica, FleetReplicaFault } from '../BendfallFakesFleetReplica.js'
 import type { FleetProxy, ProxyFault } from './BendfallFakesFleetProxy.js'
 import { endNotices } from './BendfallFakesSoakFleet.js'
-import type { SoakFleet, SoakNode } from './BendfallFakesSoakFleet.js'
+import type { SoakFleet, SoakNode, SoakReplica } from './BendfallFakesSoakFleet.js'
 
 const FAULT_MS = [150, 600, 1_500, 3_000] as const
 const REPLICA_FAULTS: readonly FleetReplicaFault[] = ['not_run', 'reset', 'garbled', 'other_request', 'unsigned', 'break_off']
@@ -62,7 +62,7 @@
     replica.requestBackoff(0)
     notices.push({ replica, kind: 'backs_off', fromMs, untilMs: fromMs + seconds * MS_PER_SECOND })
     await sleep(seconds * MS_PER_SECOND)
-    return `${replicaId} ${seconds} s`
+    return `${replicaId()} ${seconds} s`
   },
   cut_off: async ({ storeProxy }, draw) => {
     const fault = draw(['one_way', 'silent'] as const)
@@ -101,11 +101,11 @@
     endNotices(fleet, target.replica)
     target.replica.restart()
     target.register('ready')
-    return `${target.replicaId} ${state}`
+    return `${target.replicaId()} ${state}`
   },
   limit: async ({ models, plain }, draw) => {
     const { replica, replicaId } = draw([...models, ...plain, ...plain])
-    return await advertiseLimits([replica], draw, replicaId)
+    return await advertiseLimits([replica], draw, replicaId())
   },
   limit_all: async ({ plain }, draw) => await advertiseLimits(plain.map(({ replica }) => replica), draw, 'plain'),
   pause: async (fleet, draw) => {
@@ -130,6 +130,15 @@
     for (let i = 0; i < draw([1, 2, 5]); i++) replica.failNext(fault)
     return `${fault} ${replica.address}`
   },
+  replace: async ({ models }, draw) => {
+    const decodes = models.filter(({ replica }) => replica.stage() === 'decode')
+    const [from, to] = ['v1', 'v2'].sort((a, b) => countVersion(decodes, b) - countVersion(decodes, a)) as [string, string]
+    const target = draw(decodes.filter(({ softwareVersion }) => softwareVersion() === from))
+    const replicaId = target.replicaId()
+    target.replace(to)
+    await sleep(draw(FAULT_MS))
+    return `${replicaId} by ${target.replicaId()} of ${to}`
+  },
   reset: async (fleet, draw) => {
     const proxy = draw(proxiesOf(fleet))
     proxy.reset()
@@ -140,7 +149,7 @@
     endNotices(fleet, target.replica)
     target.replica.restart()
     target.register('ready')
-    return target.replicaId
+    return target.replicaId()
   },
   silence: async (fleet, draw) => {
     const proxy = draw(proxiesOf(fleet))
@@ -177,7 +186,7 @@
     endNotices(fleet, target.replica)
     target.replica.restart()
     target.register('ready')
-    return target.replicaId
+    return target.replicaId()
   },
   terminate: async (fleet, draw) => {
     const node = draw(fleet.nodes)
@@ -202,7 +211,7 @@
 const DRILL = 'store_restored'
 
 /** Faults added later, which `ALL_FAULTS` leaves out so that earlier seeds draw the same faults as before. */
-const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'cut_off', 'keys', 'limit', 'limit_all', 'say_leaving'])
+const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'cut_off', 'keys', 'limit', 'limit_all', 'replace', 'say_leaving'])
 export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS).filter((name) => !LATER_FAULTS.has(name))
 
 /** Replicas that leave or back off only by response headers, alongside others that leave by registration or restart. */
@@ -217,6 +226,12 @@
 /** Changes of API keys while entries are partitioned from the store, get store errors, or are terminated, paused or killed. */
 export const CUSTOMER_FAULTS: readonly string[] = ['cut_off', 'cut_off', 'keys', 'keys', 'keys', 'keys', 'kill', 'pause', 'proxy', 'replica', 'reset', 'silence', 'store_fails', 'store_forgets', 'terminate']
 
+/** Replacements of decode replicas by those of another software version, beside all other faults of processes and connections. */
+export const VERSION_FAULTS: readonly string[] = ['replace', 'replace', 'replace', 'cut_off', DRILL, 'kill', 'kill', 'pause', 'proxy', 'replica', 'reset', 'silence', 'store_fails', 'store_forgets', 'terminate']
+
+/** Replacements while all entries, sidecars and the store run undisturbed. */
+export const REPLACEMENT_FAULTS: readonly string[] = ['replace', 'replace', 'replica']
+
 /** Faults that don't prevent an entry from learning that a replica leaves. */
 export const LEAVING_FAULTS: readonly string[] = ['foreign', 'leave', 'leave', 'reset', 'restart', 'silence']
 
@@ -233,6 +248,10 @@
   return `${name} ${await FAULTS[name]?.(fleet, draw)}`
 }
 
+function countVersion (replicas: readonly SoakReplica[], version: string): number {
+  return replicas.filter(({ softwareVersion }) => softwareVersion() === version).length
+}
+
 async function endNode (node: SoakNode, signal: 'SIGKILL' | 'SIGTERM', draw: Draw): Promise<void> {
   // A concurrent series of faults already ends this node.
   if (node.isEnding) return
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -33,6 +33,7 @@
 export const POISON_PATH = '/rate/poison'
 
 const EVENT_MS = 20
+const FIRST_MODEL_OCTET = 11
 const SUBNETS = 250
 const PEER_PORT = 17_380
 const CALLERS_PORT = 17_391
@@ -52,7 +53,11 @@
 export interface SoakReplica {
   readonly replica: FleetReplica
   readonly proxy: FleetProxy
-  readonly replicaId: string
+  readonly replicaId: () => string
+  /** Version of the software that its process runs. */
+  readonly softwareVersion: () => string
+  /** Replaces the process by one with a new id and another software version. */
+  readonly replace: (softwareVersion: string) => void
   /** Writes the registration; `none` removes it. */
   readonly register: (state: RegisteredState) => void
   /** Rewrites the last registration, as its owner does after a restore of the store. */
@@ -99,19 +104,40 @@
   readonly close: () => Promise<void>
 }
 
+/** A model replica that the fleet starts with. */
+export interface SoakModel {
+  readonly stage: 'prefill' | 'decode'
+  readonly softwareVersion: string
+}
+
+/** Options of the fleet. */
+export interface SoakFleetOptions {
+  /** Customers with API keys; absent where callers need none. */
+  readonly customers?: SoakCustomers
+  /** Default: a prefill and two decode replicas of one software version. */
+  readonly models?: readonly SoakModel[]
+  /** Default: 2. */
+  readonly entries?: number
+  readonly poolIntent?: PoolIntent
+}
+
+const MODELS: readonly SoakModel[] = [{ stage: 'prefill', softwareVersion: 'v1' }, { stage: 'decode', softwareVersion: 'v1' }, { stage: 'decode', softwareVersion: 'v1' }]
+
+/** Time after which the registration of a replaced process lapses. */
+const LAPSE_MS = 1_500
+
 /** Needs one more prefill replica than the fleet starts with, so that each new leader and each restart causes an order. */
 const POOL_INTENT: PoolIntent = { usualPrefillShare: 0.67, leastPrefillShare: 0.5, leastPrefillReplicas: 1, mostPrefillShare: 0.67 }
 
 const CONFIG = createFleetConfig({ host: SOAK_HOST, timeoutMs: 5_000, plain: { timeoutMs: 1_200, targetLatencyMs: 150 }, handleTtlS: 0.5, maxBodyBytes: 100_000 })
 
 /**
- * Starts the fleet: two entries, a prefill and two decode replicas with their
- * sidecars, and two plain replicas.
+ * Starts the fleet: entries, model replicas with their sidecars, and three plain replicas.
  *
- * @param customers - customers with API keys; absent where callers need none
+ * @param options - customers, model replicas and number of entries
  * @returns the fleet once all processes listen
  */
-export async function startSoakFleet (customers?: SoakCustomers): Promise<SoakFleet> {
+export async function startSoakFleet ({ customers, entries = 2, models: specs = MODELS, poolIntent = POOL_INTENT }: SoakFleetOptions = {}): Promise<SoakFleet> {
   const folder = mkdtempSync(join(tmpdir(), 'bendfall-soak-'))
   const store = await startFleetStore(loopbackIp(1))
   const storeProxy = await startFleetProxy(store.address)
@@ -122,8 +148,8 @@
     crashes.push(performance.now())
     endNotices(replicaNotices, replica)
   }
-  for (const [index, stage] of (['prefill', 'decode', 'decode'] as const).entries()) models.push(await startReplica(store, loopbackIp(11 + index), `m${index}`, onCrash, stage))
-  const plain = [await startReplica(store, loopbackIp(21), 'a0', onCrash), await startReplica(store, loopbackIp(22), 'a1', onCrash), await startReplica(store, loopbackIp(23), 'a2', onCrash)]
+  for (const [index, model] of specs.entries()) models.push(await startReplica(store, loopbackIp(FIRST_MODEL_OCTET + index), `m${index}`, onCrash, model))
+  const plain = [await startReplica(store, loopbackIp(31), 'a0', onCrash), await startReplica(store, loopbackIp(32), 'a1', onCrash), await startReplica(store, loopbackIp(33), 'a2', onCrash)]
   for (const one of [...models, ...plain]) one.register('ready')
   let version = 0
   const configure = (): void => {
@@ -132,9 +158,9 @@
   }
   configure()
   const poolsFile = join(folder, 'pools.json')
-  writeFileSync(poolsFile, JSON.stringify({ intent: POOL_INTENT, confirmedDigest: digestPoolIntent(POOL_INTENT) }))
+  writeFileSync(poolsFile, JSON.stringify({ intent: poolIntent, confirmedDigest: digestPoolIntent(poolIntent) }))
   const shared = { poolsFile, availabilityZone: 'a', peerPorts: [PEER_PORT, PEER_PORT + 9] as const, keyValueAddress: storeProxy.address, stopGraceS: 4, credentials: { revokedWithinMs: SOAK_REVOKED_WITHIN_MS }, allotments: SOAK_ALLOTMENTS }
-  const entryIps = [loopbackIp(2), loopbackIp(3)]
+  const entryIps = Array.from({ length: entries }, (_, index) => loopbackIp(2 + index))
   const nodes = [
     ...await Promise.all(models.map(({ replica }, index) => startNode(folder, 'sidecar', { ...shared, instanceId: `sidecar-${index}`, ip: hostOf(replica.address), replicaAddress: replica.address }))),
     ...await Promise.all(entryIps.map((entryIp, index) => startNode(folder, 'entry', { ...shared, instanceId: `entry-${index}`, ip: entryIp, callersListen: `${entryIp}:${CALLERS_PORT}`, readyListen: `${entryIp}:${READY_PORT}` })))
@@ -179,11 +205,13 @@
   return `127.${1 + subnet % SUBNETS}.${Math.floor(subnet / SUBNETS) % SUBNETS}.${last}`
 }
 
-async function startReplica (store: FleetStore, host: string, replicaId: string, onCrash: (replica: FleetReplica) => void, stage?: 'prefill' | 'decode'): Promise<SoakReplica> {
+async function startReplica (store: FleetStore, host: string, replicaId: string, onCrash: (replica: FleetReplica) => void, model?: SoakModel): Promise<SoakReplica> {
+  const stage = model?.stage
   const replica = await startFleetReplica({
     host,
     replicaId,
     stage,
+    softwareVersion: model?.softwareVersion,
     events: SOAK_EVENTS,
     eventMs: EVENT_MS,
     restartsAfterCrash: true,
@@ -194,16 +222,29 @@
     }
   })
   const proxy = await startFleetProxy(replica.address)
-  const key = `servers/${replicaId}`
+  let currentId = replicaId
+  let key = `servers/${replicaId}`
+  let softwareVersion = model?.softwareVersion ?? 'v1'
   let seq = 0
+  let replacements = 0
   let registered: RegisteredState = 'none'
   function register (state: RegisteredState): void {
     registered = state
     if (state === 'none') return store.remove(key)
     seq += 1
-    store.put(key, { born: replica.startedAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: 'v1', slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
+    store.put(key, { born: replica.startedAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: softwareVersion, slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
+  }
+  function replace (newSoftwareVersion: string): void {
+    const formerKey = key
+    setTimeout(() => store.remove(formerKey), LAPSE_MS).unref()
+    softwareVersion = newSoftwareVersion
+    replacements += 1
+    currentId = `${replicaId}-${replacements}`
+    key = `servers/${currentId}`
+    replica.replace(currentId, softwareVersion)
+    register('ready')
   }
-  return { replica, proxy, replicaId, register, rewriteRegistration: () => register(registered) }
+  return { replica, proxy, replicaId: () => currentId, softwareVersion: () => softwareVersion, replace, register, rewriteRegistration: () => register(registered) }
 }
 
 async function startNode (folder: string, role: 'entry' | 'sidecar', settings: EdgeSettings): Promise<SoakNode> {
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakLimits.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakLimits.ts
@@ -22,8 +22,8 @@
 export function findOverLimit ({ models, plain }: Pick<SoakFleet, 'models' | 'plain'>, records: readonly CallRecord[], isEntryUndisturbed: IsEntryUndisturbed): string[] {
   const answers = records.flatMap(({ answeredAtMs, entry, replicaId, requestId }): ForwardedResponse[] => [{ requestId, entry, answeredAtMs: answeredAtMs ?? Infinity, replicaId }])
   return [...models, ...plain].flatMap(({ replica, replicaId }) => {
-    const worst = findWorstWindow({ replica, replicaId, answers, isCounted: isEntryUndisturbed })
+    const worst = findWorstWindow({ replica, replicaId: replicaId(), answers, isCounted: isEntryUndisturbed })
     if (worst === undefined || worst.over <= 0) return []
-    return [`${replicaId} advertised ${worst.perS} requests/s and received ${worst.arrived} in the window up to ${Math.round(worst.atMs)}, ${worst.over} too many`]
+    return [`${replicaId()} advertised ${worst.perS} requests/s and received ${worst.arrived} in the window up to ${Math.round(worst.atMs)}, ${worst.over} too many`]
   })
 }
