--- a/packages/bendfall-edge/src/origins/BendfallEdgeEntryRegistration.ts
+++ b/packages/bendfall-edge/src/origins/BendfallEdgeEntryRegistration.ts
@@ -62,10 +62,16 @@
     // A write whose response was lost is repeated with a new lease; the former one lapses.
     if (written.type !== 'applied') return false
     leaseId = lease.leaseId
+    if (ended.signal.aborted) revoke(lease.leaseId)
     logger.info('entry_registered', { key })
     return true
   }
 
+  // If revoking fails, the lease lapses by itself.
+  function revoke (id: string): void {
+    port.revokeLease(id).catch((error: unknown) => logger.warn('revoke_failed', { key, error }))
+  }
+
   async function keep (id: string): Promise<boolean> {
     const outcome = await port.renewLease(id)
     if (outcome.type === 'lapsed' && leaseId === id) leaseId = undefined
@@ -92,8 +98,7 @@
       if (ended.signal.aborted) return
       ended.abort()
       stopListening?.()
-      if (leaseId === undefined) return
-      port.revokeLease(leaseId).catch((error: unknown) => logger.warn('revoke_failed', { key, error }))
+      if (leaseId !== undefined) revoke(leaseId)
     }
   }
 }
--- a/packages/bendfall-edge/src/origins/BendfallEdgeOrigins.ts
+++ b/packages/bendfall-edge/src/origins/BendfallEdgeOrigins.ts
@@ -50,6 +50,9 @@
 /** Timeout of a question; a sidecar limited to its CPU share takes up to 100 ms, a lost packet 200 ms. */
 const FIND_TIMEOUT_MS = 400
 
+/** Time for which nothing is written to a process that did not answer. */
+const HOLDER_BACKOFF_MS = 1_000
+
 /**
  * Registers the effects `record_origin` and `find_origin`, and this entry in the list of entries.
  *
@@ -62,6 +65,7 @@
   const sidecars = createOriginHolders()
   const entries = createOriginHolders()
   const sessions = new Map<string, AnsweringSessionManager>()
+  const silentAtMs = new Map<string, number>()
   const entryList = createEntryList(logger)
   const registration = registerEntry({ ...options, clock })
 
@@ -76,18 +80,21 @@
     for (const [address, session] of sessions) {
       if (sidecars.members.has(address) || entries.members.has(address)) continue
       sessions.delete(address)
+      silentAtMs.delete(address)
       session.abort()
     }
   }
 
   async function tell (holders: OriginHolders, { requestId, software }: RouterEffectOf<'record_origin'>): Promise<void> {
     for (const address of holdersToTell(holders, requestId, own.address)) {
+      if (clock.nowMs() - (silentAtMs.get(address) ?? -Infinity) < HOLDER_BACKOFF_MS) continue
       const session = sessionOf(address)
       try {
         await withTimeout(callUnary(session, OriginService.method.record, { requestId, software }, { timeoutMs: RECORD_TIMEOUT_MS }), RECORD_TIMEOUT_MS)
         return
       } catch (error) {
         logger.debug('origin_not_recorded', { request: requestId, holder: address, error })
+        silentAtMs.set(address, clock.nowMs())
         session.abort()
       }
     }
