--- a/packages/bendfall-edge/src/origins/BendfallEdgeOrigins.ts
+++ b/packages/bendfall-edge/src/origins/BendfallEdgeOrigins.ts
@@ -85,19 +85,28 @@
     }
   }
 
-  async function tell (holders: OriginHolders, { requestId, software }: RouterEffectOf<'record_origin'>): Promise<void> {
-    for (const address of holdersToTell(holders, requestId, own.address)) {
+  // Returns the first process that now remembers the origin; undefined if none could be reached.
+  async function tell (addresses: readonly string[], { requestId, software }: RouterEffectOf<'record_origin'>): Promise<string | undefined> {
+    for (const address of addresses) {
       if (clock.nowMs() - (silentAtMs.get(address) ?? -Infinity) < HOLDER_BACKOFF_MS) continue
       const session = sessionOf(address)
       try {
         await withTimeout(callUnary(session, OriginService.method.record, { requestId, software }, { timeoutMs: RECORD_TIMEOUT_MS }), RECORD_TIMEOUT_MS)
-        return
+        return address
       } catch (error) {
         logger.debug('origin_not_recorded', { request: requestId, holder: address, error })
         silentAtMs.set(address, clock.nowMs())
         session.abort()
       }
     }
+    return undefined
+  }
+
+  // Where one kind of process can't be reached, two of the other kind remember the origin.
+  async function record (effect: RouterEffectOf<'record_origin'>): Promise<void> {
+    const choices = [sidecars, entries].map((holders) => holdersToTell(holders, effect.requestId, own.address))
+    const told = await Promise.all(choices.map((addresses) => tell(addresses, effect)))
+    if (told.includes(undefined)) await tell(choices.flat().filter((address) => !told.includes(address)), effect)
   }
 
   async function ask (address: string, requestId: string): Promise<OriginOutcome> {
@@ -131,7 +140,7 @@
 
   const unregister = combineTeardowns([
     loop.registerEffect('record_origin', (effect) => {
-      for (const holders of [sidecars, entries]) tell(holders, effect).catch((error: unknown) => logger.error('origin_record_failed', { request: effect.requestId, error }))
+      record(effect).catch((error: unknown) => logger.error('origin_record_failed', { request: effect.requestId, error }))
     }),
     loop.registerEffect('find_origin', ({ attempt, key, requestId }) => {
       find(requestId).then((outcome) => loop.dispatch({ type: 'origin_answered', key, attempt, outcome }), (error: unknown) => logger.error('origin_question_failed', { request: requestId, error }))
