Review: a replica whose clock was set back between two starts drains unnoticed

Cause: entries order the starts of a replica under one id by its wall clock, and drop registrations with a lower start time although their revision is higher.

--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -33,5 +33,13 @@
   limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 4_194_304, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
 }
 
-/** Registration of a plain replica. */
-export const registrationOf = ({ address }) => ({ service: 'freight-app', address, zone: 'split-hall-a', version: 'v1', slots: PLAIN_REPLICA.slots, state: 'ready', 'cold-remaining-ms': 0, seq: 1 })
+/** Interval at which a replica writes its registration. */
+export const HEARTBEAT_MS = 1_200
+
+/**
+ * Registration of a plain replica.
+ *
+ * @param replica - replica with its address
+ * @param fields - fields that differ from those of a replica that has just started
+ */
+export const registrationOf = ({ address }, fields = {}) => ({ service: 'freight-app', address, zone: 'split-hall-a', version: 'v1', slots: PLAIN_REPLICA.slots, state: 'ready', 'cold-remaining-ms': 0, seq: 1, ...fields })
--- a/review/standins/replica.mjs
+++ b/review/standins/replica.mjs
@@ -7,10 +7,11 @@
 const HEAD_END = Buffer.from('\r\n\r\n')
 
 /**
- * Starts a replica on a free port.
+ * Starts a replica.
  *
  * @param options
  * @param {string} options.host - loopback address to listen on
+ * @param {number} [options.port] - port to listen on; default: a free one
  * @param {string} options.id - id under which it is registered
  * @param {number} options.slots - requests that it runs at once
  * @param {number} options.queue - requests that wait for a slot; further ones are rejected
@@ -19,7 +20,7 @@
  * @param {(event: string, requestId: string) => void} options.onEvent - called for each run and its end
  * @returns the replica once it listens
  */
-export function startReplica ({ host, id, onEvent, queue, slots, spoil = (head) => head, workMs }) {
+export function startReplica ({ host, id, onEvent, port = 0, queue, slots, spoil = (head) => head, workMs }) {
   const sockets = new Set()
   const waiting = []
   let running = 0
@@ -97,8 +98,9 @@
 
   const server = createServer(handleConnection)
   return new Promise((resolve) => {
-    server.listen(0, host, () => resolve({
+    server.listen(port, host, () => resolve({
       id,
+      port: server.address().port,
       address: `${host}:${server.address().port}`,
       close: () => {
         server.close()
