Review: a sound prompt part is refused at all entries after a planned restart

Cause: two parts that crash replicas in succession share their first part with sound requests, and no restarted entry remembers that it was served, so that it is taken for the cause and refused until the crashes lapse.

--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -43,3 +43,17 @@
  * @param fields - fields that differ from those of a replica that has just started
  */
 export const registrationOf = ({ address }, fields = {}) => ({ service: 'freight-app', address, zone: 'split-hall-a', version: 'v1', slots: PLAIN_REPLICA.slots, state: 'ready', 'cold-remaining-ms': 0, seq: 1, ...fields })
+
+/** Path of the streams, and their time budget. */
+export const STREAM_PATH = '/tender/summary'
+export const STREAM_TIMEOUT_MS = 14_000
+
+/** Configuration with the service of the models beside the plain one. */
+export const MODEL_CONFIG = {
+  ...CONFIG,
+  routes: [...CONFIG.routes, { name: 'tender', host: HOST, 'path-prefix': '/tender/', kind: 'streaming', 'timeout-ms': STREAM_TIMEOUT_MS, 'target-latency-ms': 900, 'target-gap-ms': 300, priority: 1, service: 'quote-llm', 'max-attempts': 1, sticky: true, resumable: false }],
+  services: [...CONFIG.services, { name: 'quote-llm', 'health-path': '/health', 'max-connections': 370, protocol: 'h1', tls: false, engine: { slots: 64, 'kv-tokens': 37_745, 'kv-token-bytes': 35_136, 'link-mbps': 1_100_000, 'handle-ttl-s': 0.5, 'switch-s': 6, 'pin-ms': 4_000, 'hold-ms': 2_000, models: [{ name: 'm' }] } }]
+}
+
+/** Registration of a model replica. */
+export const modelRegistrationOf = (replica, seq) => ({ service: 'quote-llm', address: replica.address(), zone: 'split-hall-a', version: 'v1', slots: 64, state: 'ready', 'cold-remaining-ms': 0, stage: replica.stage(), models: [{ name: 'm', version: 1, adapters: [] }], born: replica.born(), seq })
