--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -40,13 +40,16 @@
   store.put('op/config', CONFIG)
   let spoilFromMs = Infinity
   const isSpoiling = () => performance.now() >= spoilFromMs && performance.now() < spoilFromMs + SPOIL_MS
+  // The replica that first has enough answers to spoil one; the others spoil none.
+  let faultyId
   for (let i = 0; i < REPLICAS; i++) {
     const id = `i-app-${i}`
     let answersInTime = 0
     const spoil = (head) => {
-      if (!hasTrouble || i !== 0 || !isSpoiling()) return head
+      if (!hasTrouble || !isSpoiling()) return head
       answersInTime += 1
-      return answersInTime % SPOILED_EVERY === 0 ? spoilStatus(head) : head
+      if (answersInTime === SPOILED_EVERY) faultyId ??= id
+      return faultyId === id && answersInTime % SPOILED_EVERY === 0 ? spoilStatus(head) : head
     }
     const replica = await startReplica({
       ...PLAIN_REPLICA,
