Review: pass the path of the record to the frame of the scripts

Cause: each script should show where it writes its record. Change: the frame takes the file in place of the module's address.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -34,7 +34,7 @@
 // '2' and '0' differ in one bit.
 const spoilStatus = (head) => head.replace('HTTP/1.1 200', 'HTTP/1.1 000')
 
-await runScript(import.meta.url, async ({ folder, hasTrouble, onEnd, record }) => {
+await runScript(new URL('record.txt', import.meta.url), async ({ folder, hasTrouble, onEnd, record }) => {
   const store = await startStore(loopbackIp(1))
   onEnd(store.close)
   store.put('op/config', CONFIG)
--- a/review/standins/script.mjs
+++ b/review/standins/script.mjs
@@ -14,12 +14,12 @@
 /**
  * Runs a script and ends the process with its status.
  *
- * @param {string} url - `import.meta.url` of the script, beside which the record is written
+ * @param {URL} recordUrl - file that the record is written to
  * @param {(context: object) => Promise<boolean>} play - returns whether the rule was broken
  */
-export async function runScript (url, play) {
+export async function runScript (recordUrl, play) {
   const folder = mkdtempSync(join(tmpdir(), 'review-'))
-  const record = createRecord(join(fileURLToPath(new URL('.', url)), 'record.txt'))
+  const record = createRecord(fileURLToPath(recordUrl))
   const cleanUps = []
   let status = COULD_NOT_RUN
   try {
