Keep failed assertions of the bundle from stopping the event loop

Cause: the HTTP client asserts what it expects of a response, mostly without a message. Node.js words the error of such an assertion by parsing the failed source line from ever later offsets until it meets the call. The bundle has lines of up to 246 KB, and that takes quadratic time.

Evidence: a debugger that pauses the process while it stands still shows, three times of three, parseExpressionAt <- parseCode <- findColumn <- getErrMessage <- innerOk <- ok <- the replacement of node:assert in the bundle <- onMessageComplete (status 000) or onUpgrade (101) of the HTTP client. A failed assertion without a message at the end of one line, Node.js 20.20.2: 45, 249, 3,932 and 11,456 ms with 1, 10, 50 and 100 KB; with a message 1 ms each; in a file of the same size with short lines 10 to 19 ms.

Change: in the bundle `node:assert` is a function that throws an error with a fixed message and never reads sources, for all libraries and for all ways to name the module. So it is not the status that is mended here: any of the assertions failed the same way.

--- /dev/null
+++ b/packages/bendfall-fakes/src/__tests__/process/BundleHarness.ts
@@ -0,0 +1,159 @@
+import { spawn, spawnSync } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { request as httpRequest } from 'node:http'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import { parse } from 'smol-toml'
+
+const ROOT = fileURLToPath(new URL('../../../../../', import.meta.url))
+const START_TIMEOUT_MS = 30_000
+const SUBNET_COUNT = 250
+
+/** Status line of a successful response, which a head proxy replaces. */
+const OK_LINE = 'HTTP/1.1 200 OK\r\n'
+
+/** Outcome of a request; `silent`: no complete response within the time. */
+export type RequestOutcome = number | 'broken' | 'silent'
+
+/** Role of the bundled service. */
+export type BundledRole = 'entry' | 'sidecar'
+
+/** The service as the deploy file builds and runs it, in a temporary folder. */
+export interface Bundle {
+  /** Starts a role with the command of the deploy file, and waits until it has started. */
+  readonly start: (role: BundledRole, settings: object) => Promise<BundledProcess>
+  readonly remove: () => void
+}
+
+/** A process of the bundled service. */
+export interface BundledProcess {
+  /** @returns what the process has logged */
+  readonly log: () => string
+  readonly hasEnded: () => boolean
+  readonly kill: () => Promise<void>
+}
+
+/** Proxy that replaces the bytes of response heads. */
+export interface HeadProxy {
+  /** `ip:port`. */
+  readonly address: string
+  /** Changes the first bytes of responses until called with undefined. */
+  readonly spoilWith: (spoil: ((bytes: Buffer) => Buffer) | undefined) => void
+  /** @returns number of responses that were changed */
+  readonly spoiledCount: () => number
+  readonly close: () => void
+}
+
+/** Returns a loopback address that only this process uses. */
+export function ip (last: number): string {
+  return `127.${1 + process.pid % SUBNET_COUNT}.${1 + Math.floor(process.pid / SUBNET_COUNT) % SUBNET_COUNT}.${last}`
+}
+
+/** Builds the service into a temporary folder. */
+export function buildBundle (): Bundle {
+  const folder = mkdtempSync(join(tmpdir(), 'bendfall-answers-'))
+  const { status, stderr } = spawnSync(process.execPath, [join(ROOT, 'scripts', 'bundle.mjs'), folder], { encoding: 'utf8' })
+  if (status !== 0) throw new Error(`the bundle was not built: ${stderr}`)
+  const { roles } = parse(readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8')) as unknown as { readonly roles: Readonly<Record<BundledRole, { readonly run: string }>> }
+
+  async function start (role: BundledRole, settings: object): Promise<BundledProcess> {
+    const settingsPath = join(folder, `${role}.json`)
+    writeFileSync(settingsPath, JSON.stringify(settings))
+    const args = roles[role].run.split(' ').slice(1).map((word) => word.replace('target/', `${folder}/`))
+    const child = spawn(process.execPath, args, { cwd: ROOT, env: { ...process.env, BENDFALL_BOOT: settingsPath } })
+    const exit = once(child, 'exit')
+    let log = ''
+    for (const stream of [child.stdout, child.stderr]) stream.on('data', (bytes: Buffer) => { log += bytes.toString() })
+    const hasEnded = (): boolean => child.exitCode !== null || child.signalCode !== null
+    const endsAtMs = performance.now() + START_TIMEOUT_MS
+    while (!log.includes('event=started')) {
+      if (hasEnded() || performance.now() > endsAtMs) throw new Error(`the ${role} did not start: ${log}`)
+      await sleep(20)
+    }
+    return {
+      log: () => log,
+      hasEnded,
+      kill: async () => {
+        child.kill('SIGKILL')
+        await exit
+      }
+    }
+  }
+
+  return { start, remove: () => rmSync(folder, { recursive: true }) }
+}
+
+/** Replaces the status line of a response by one of the same version with another status. */
+export function withStatus (status: string): (bytes: Buffer) => Buffer {
+  return (bytes) => bytes.subarray(0, OK_LINE.length).toString('latin1') === OK_LINE ? Buffer.concat([Buffer.from(`HTTP/1.1 ${status} OK\r\n`), bytes.subarray(OK_LINE.length)]) : bytes
+}
+
+/** Starts a proxy on the loopback address of its target. */
+export async function startHeadProxy (target: string): Promise<HeadProxy> {
+  const [host = '', port = ''] = target.split(':')
+  const sockets = new Set<Socket>()
+  let spoil: ((bytes: Buffer) => Buffer) | undefined
+  let spoiledCount = 0
+
+  const server = createServer((caller) => {
+    const upstream = connect({ host, port: Number(port) })
+    // The first bytes after a request are the head of its response.
+    let isHeadExpected = false
+    caller.on('data', (bytes) => {
+      isHeadExpected = true
+      upstream.write(bytes)
+    })
+    upstream.on('data', (bytes) => {
+      const sent = isHeadExpected && spoil !== undefined ? spoil(bytes) : bytes
+      isHeadExpected = false
+      if (sent !== bytes) spoiledCount += 1
+      caller.write(sent)
+    })
+    for (const [from, to] of [[caller, upstream], [upstream, caller]] as const) {
+      sockets.add(from)
+      from.on('error', () => {})
+      from.on('close', () => {
+        sockets.delete(from)
+        to.destroy()
+      })
+    }
+  })
+  await new Promise<void>((resolve) => server.listen(0, host, resolve))
+  return {
+    address: `${host}:${(server.address() as AddressInfo).port}`,
+    spoilWith: (next) => { spoil = next },
+    spoiledCount: () => spoiledCount,
+    close: () => {
+      server.close()
+      for (const socket of sockets) socket.destroy()
+    }
+  }
+}
+
+/** A request of a test. */
+export interface TestRequest {
+  readonly host: string
+  readonly port: number
+  readonly path: string
+  readonly method?: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string
+  readonly timeoutMs: number
+}
+
+/** Sends a request over a new connection. */
+export function send ({ body, headers, host, method = 'GET', path, port, timeoutMs }: TestRequest): Promise<RequestOutcome> {
+  const signal = AbortSignal.timeout(timeoutMs)
+  return new Promise((resolve) => {
+    const fail = (): void => resolve(signal.aborted ? 'silent' : 'broken')
+    const request = httpRequest({ host, port, path, method, headers, agent: false, signal }, (response) => {
+      response.once('error', fail).once('close', () => response.complete ? resolve(response.statusCode ?? 0) : fail()).resume()
+    })
+    request.once('error', fail).end(body)
+  })
+}
--- a/scripts/__tests__/bundle.test.mjs
+++ b/scripts/__tests__/bundle.test.mjs
@@ -62,6 +62,16 @@
   rmSync(otherDir, { recursive: true })
 })
 
+// Guards against assertions whose failure makes Node.js parse the whole line of the bundle, and against libraries
+// that call functions which the replacement of the module lacks.
+test('no assertion of the bundle is one of Node.js', () => {
+  for (const name of ['bendfall.mjs', 'bendfallService.cjs']) {
+    const script = readFileSync(join(outDir, name), 'utf8')
+    assert.not.match(script, /["'](node:)?assert(\/strict)?["']/, name)
+    assert.not.match(script, /\bassert\d*\.(?!ok\b)\w+\(/, name)
+  }
+})
+
 for (const role of ['entry', 'sidecar']) {
   // Guards against caches that V8 rejects because they were made with other options than the deploy file's.
   test(`the ${role} starts with the code cache of the build`, async () => {
--- a/scripts/libraryParts.mjs
+++ b/scripts/libraryParts.mjs
@@ -17,8 +17,6 @@
     './client-h2.js': "module.exports = () => { throw new Error('HTTP/2 is not part of the bundle') }",
     // Used only where the engine of WebAssembly lacks SIMD.
     '../llhttp/llhttp-wasm.js': "throw new Error('the parser without SIMD is not part of the bundle')",
-    // The module loads a dozen internal ones; it is needed to report a failure only.
-    'node:assert': "module.exports = (value, message) => { if (!value) require('node:assert')(value, message) }",
     'node:perf_hooks': 'module.exports = { performance }'
   },
   'hdr-histogram-js': {
@@ -27,6 +25,21 @@
   }
 }
 
+/**
+ * Replacement for `node:assert` in all modules. The original words a failed assertion without a message by parsing
+ * its source line repeatedly, in quadratic time: seconds for 50 KB, and the longest line of the bundle has 246 KB.
+ */
+const ASSERT = `
+  class AssertionError extends Error {
+    name = 'AssertionError'
+    code = 'ERR_ASSERTION'
+  }
+  module.exports = function assert (value, message = 'assertion failed') {
+    if (value) return
+    throw message instanceof Error ? message : new AssertionError(message)
+  }
+  module.exports.ok = module.exports`
+
 /** Plugin of the bundler. Importing a name that a replacement lacks fails the build. */
 export const libraryParts = {
   name: 'library-parts',
@@ -34,6 +47,8 @@
     const root = bundler.initialOptions.absWorkingDir
     bundler.onResolve({ filter: /^(undici|hdr-histogram-js)$/ }, ({ path }) => ({ path, namespace: 'used-parts' }))
     bundler.onLoad({ filter: /.*/, namespace: 'used-parts' }, ({ path }) => ({ contents: USED_PARTS[path], resolveDir: root }))
+    bundler.onResolve({ filter: /^(node:)?assert(\/strict)?$/ }, () => ({ path: 'assert', namespace: 'assert' }))
+    bundler.onLoad({ filter: /.*/, namespace: 'assert' }, () => ({ contents: ASSERT, loader: 'js' }))
     for (const [library, replaced] of Object.entries(REPLACED)) {
       const namespace = `parts-of-${library}`
       bundler.onResolve({ filter: /^(node:|\.)/ }, ({ importer, path }) => importer.includes(`/node_modules/${library}/`) && Object.hasOwn(replaced, path) ? { path, namespace } : undefined)
