Fail calls whose response has no valid HTTP status

Callers saw: a response of a replica with a status from 600 to 999 was passed on to them with that status, and one below 100 or 101 failed an assertion within the HTTP client's parser. Store, reports and the other build of the service read responses with the same client.

Cause: both adapters of the HTTP client took any three digits for a status. The client reports each head before it checks it, so that the adapters can refuse it first.

Change: `statusKindOf` tells final, informational and invalid statuses apart (RFC 9110, section 15; 101 is invalid, as no request offers another protocol). Calls of replicas and the exchanger of store, instance list, engines and services abort at an invalid one: the request may have run, so that a non-idempotent one ends with 502, and an idempotent one may be repeated. The entry logs and counts it as any other response that isn't one of a replica.

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeReplicaCall.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeReplicaCall.test.ts
@@ -9,6 +9,7 @@
   readonly type: 'end' | 'fail'
   readonly body: string
   readonly isSent: boolean
+  readonly errorName?: string
 }
 
 /** Calls a replica that responds to the request by `respond`. */
@@ -24,12 +25,12 @@
   const pool = createConnectionPool(`127.0.0.1:${port}`, () => {})
   const chunks: Buffer[] = []
   const outcome = await new Promise<Outcome>((resolve) => {
-    const finish = (type: Outcome['type'], isSent: boolean): void => resolve({ type, isSent, body: Buffer.concat(chunks).toString() })
+    const finish = (type: Outcome['type'], isSent: boolean, error?: Error): void => resolve({ type, isSent, body: Buffer.concat(chunks).toString(), ...(error !== undefined && { errorName: error.name }) })
     startReplicaCall(pool, { method: 'GET', path: '/', headers: [] }, {
       onHead: () => {},
       onChunk: (chunk) => { chunks.push(chunk) },
       onEnd: () => finish('end', true),
-      onFail: (_, isSent) => finish('fail', isSent)
+      onFail: (error, isSent) => finish('fail', isSent, error)
     })
   })
   pool.destroy()
@@ -40,6 +41,19 @@
 
 const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n'
 
+// Guards against callers that get a status that is not one of HTTP, or that the request does not allow.
+for (const status of ['000', '099', '101', '600', '999']) {
+  test(`a response with the status ${status} fails`, async () => {
+    const outcome = await callReplica((socket) => socket.write(`HTTP/1.1 ${status} OK\r\nContent-Length: 2\r\n\r\nok`))
+    assert.equal(outcome, { type: 'fail', isSent: true, body: '', errorName: 'InvalidStatusError' })
+  })
+}
+
+test('informational responses before the final one are skipped', async () => {
+  const outcome = await callReplica((socket) => socket.write('HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'))
+  assert.equal(outcome, { type: 'end', isSent: true, body: 'ok' })
+})
+
 test('a close-delimited response is complete if its connection is closed gracefully', async () => {
   const outcome = await callReplica((socket) => socket.end(`${HEAD}whole`))
   assert.equal(outcome, { type: 'end', isSent: true, body: 'whole' })
--- a/packages/bendfall-edge/src/replica/BendfallEdgeIdentifiedCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeIdentifiedCall.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import { InvalidStatusError } from 'bendfall-platform'
 import type { ResponseHead, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
@@ -59,6 +60,10 @@
       call.abort()
       onInvalidResponse(requestId, mismatch)
       listener.onFail(new MismatchedResponseError(mismatch), true)
+    },
+    onFail: (error, isSent) => {
+      if (error instanceof InvalidStatusError) onInvalidResponse(requestId, error.message)
+      listener.onFail(error, isSent)
     }
   })
   return call
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import { framingOf } from 'bendfall-platform'
+import { framingOf, InvalidStatusError, statusKindOf } from 'bendfall-platform'
 import type { ResponseFraming } from 'bendfall-platform'
 import type { Dispatcher } from 'undici'
 import type { Connection, ConnectionPool } from './BendfallEdgeConnections.js'
@@ -45,8 +45,6 @@
   readonly unreadBytes: () => number
 }
 
-const MIN_FINAL_STATUS = 200
-
 /**
  * Starts a call.
  *
@@ -80,8 +78,13 @@
       controller = started
       if (isOver) started.abort(new Error('call aborted'))
     },
-    onResponseStart: (_, status, headers) => {
-      if (isOver || status < MIN_FINAL_STATUS) return
+    onResponseStart: (responseController, status, headers) => {
+      const statusKind = statusKindOf(status)
+      if (isOver || statusKind === 'informational') return
+      if (statusKind === 'invalid') {
+        responseController.abort(new InvalidStatusError(status))
+        return
+      }
       framing = framingOf(request.method, status, headers)
       listener.onHead(status, headers, connection.startLine())
     },
--- a/packages/bendfall-fakes/src/__tests__/process/BendfallFakesBundleAnswers.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/BendfallFakesBundleAnswers.test.ts
@@ -8,6 +8,8 @@
 import type { FleetReplica } from '../../fleet/BendfallFakesFleetReplica.js'
 import { startFleetStore } from '../../fleet/BendfallFakesFleetStore.js'
 import type { FleetStore } from '../../fleet/BendfallFakesFleetStore.js'
+import { createRandom } from '../../fleet/answers/BendfallFakesAnswersRandom.js'
+import type { Random } from '../../fleet/answers/BendfallFakesAnswersRandom.js'
 import { buildBundle, ip, send, startHeadProxy, withStatus } from './BundleHarness.js'
 import type { Bundle, BundledProcess, HeadProxy, RequestOutcome } from './BundleHarness.js'
 
@@ -27,11 +29,14 @@
 /** A configuration is in force everywhere within this time. */
 const CONFIG_APPLY_MS = 2_000
 
-const INVALID_STATUSES = ['000', '001', '099', '100', '101']
+const INVALID_STATUSES = ['000', '001', '099', '100', '101', '600', '999']
 
 /** Responses of the store and reports come several times a second. */
 const MAX_SPOIL_MS = 3_000
 
+const FUZZ_SEEDS = [1, 2, 3]
+const RESPONSES_PER_SEED = 60
+
 const config = (version: number, paths = 'rate'): object => {
   const created = createFleetConfig({ host: HOST, timeoutMs: ROUTE_TIMEOUT_MS, handleTtlS: 1, maxBodyBytes: 100_000 }) as { readonly routes: ReadonlyArray<{ readonly name: string, readonly 'path-prefix': string }> }
   return { ...created, version, routes: created.routes.map((route) => route.name === 'rate' ? { ...route, 'path-prefix': `/${paths}/` } : route) }
@@ -92,7 +97,7 @@
   bundle.remove()
 })
 
-// Guards against an entry that stands still, with all its callers.
+// Guards against an entry that stands still, and against callers that get a status that is none of HTTP.
 for (const status of INVALID_STATUSES) {
   test(`a response of a replica with the status ${status} fails only its own request`, async () => {
     replicaProxy.spoilWith(withStatus(status))
@@ -138,4 +143,42 @@
   })
 }
 
+/** Offset of the status in a response. */
+const STATUS_AT = 'HTTP/1.1 '.length
+
+/** Ways to damage the bytes of a head at an offset. */
+const DAMAGES: ReadonlyArray<(bytes: Buffer, at: number, random: Random) => Buffer> = [
+  (bytes, at, random) => Buffer.concat([bytes.subarray(0, at), Buffer.from([(bytes[at] ?? 0) ^ (1 << random.integer(8))]), bytes.subarray(at + 1)]),
+  (bytes, at) => Buffer.concat([bytes.subarray(0, at), bytes.subarray(at + 1)]),
+  (bytes, at, random) => Buffer.concat([bytes.subarray(0, at), Buffer.from([random.integer(256)]), bytes.subarray(at)]),
+  (bytes, at) => Buffer.concat([bytes.subarray(0, at), bytes]),
+  (bytes, at) => bytes.subarray(0, at),
+  (bytes, _, random) => Buffer.concat([bytes.subarray(0, STATUS_AT), Buffer.from(String(random.integer(1_000)).padStart(3, '0')), bytes.subarray(STATUS_AT + 3)])
+]
+
+/** Damages a response within its status line or, less often, elsewhere in its head. */
+function damage (bytes: Buffer, random: Random): Buffer {
+  const headBytes = random.chance(0.6) ? bytes.indexOf('\r\n') : bytes.indexOf('\r\n\r\n')
+  return random.pick(DAMAGES)(bytes, random.integer(Math.max(1, headBytes)), random)
+}
+
+// Guards against further responses that stop or end the process.
+for (const seed of FUZZ_SEEDS) {
+  test(`damaged response heads of seed ${seed} fail only their own requests`, async () => {
+    const random = createRandom(seed)
+    for (let i = 0; i < RESPONSES_PER_SEED; i++) {
+      let sent = ''
+      replicaProxy.spoilWith((bytes) => {
+        const damaged = damage(bytes, random)
+        sent = damaged.toString('latin1').slice(0, 80)
+        return damaged
+      })
+      const outcome = await call('booking')
+      assert.ok(typeof outcome === 'number' && outcome >= 200 && outcome <= 599, `${outcome} after ${JSON.stringify(sent)}`)
+    }
+    replicaProxy.spoilWith(undefined)
+    await assertServes(`seed ${seed}`)
+  })
+}
+
 test.run()
--- a/packages/bendfall-platform/src/BendfallPlatformHttp.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttp.ts
@@ -16,10 +16,10 @@
 import type { SentRequestIds } from './BendfallPlatformHttpRequestIds.js'
 import { createSendOnce } from './BendfallPlatformHttpSendOnce.js'
 import type { SendState } from './BendfallPlatformHttpSendOnce.js'
+import { InvalidStatusError, statusKindOf } from './BendfallPlatformHttpStatus.js'
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000
 const DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
-const MIN_FINAL_STATUS = 200
 const REQUEST_ID_HEADER = 'x-request-id'
 
 /** Options of an exchanger. */
@@ -179,7 +179,12 @@
         if (attempt.reason !== undefined) controller.abort(attempt.reason)
       },
       onResponseStart: (controller, status, headers) => {
-        if (status < MIN_FINAL_STATUS) return
+        const statusKind = statusKindOf(status)
+        if (statusKind === 'informational') return
+        if (statusKind === 'invalid') {
+          controller.abort(new InvalidStatusError(status))
+          return
+        }
         const getHeader = (name: string): string => String(headers[name] ?? '')
         if (requestId !== undefined && sentIds.belongsToOther(requestId, getHeader(REQUEST_ID_HEADER))) {
           controller.abort(new Error('the response belongs to another request'))
--- a/packages/bendfall-platform/src/__tests__/unit/BendfallPlatformHttp.test.ts
+++ b/packages/bendfall-platform/src/__tests__/unit/BendfallPlatformHttp.test.ts
@@ -56,6 +56,24 @@
   }))
 }
 
+// Guards against invalid statuses that are taken for those of the server, or that fail an assertion of the HTTP client.
+for (const status of ['000', '099', '101', '600', '999']) {
+  test(`a response with the status ${status} fails its call, and the next one succeeds`, () => withPeer((socket, requestNumber) => {
+    socket.write(requestNumber === 1 ? OK_ANSWER.replace('200', status) : OK_ANSWER)
+  }, async ({ http }) => {
+    const response = await http.send(GET)
+    assert.equal(response.isErr() && response.error, { kind: 'broken', reached: true, detail: `invalid response status ${status}` })
+    assert.is((await http.send(GET)).isOk(), true)
+  }))
+}
+
+test('the response after informational ones is final', () => withPeer((socket) => {
+  socket.write(`HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n${OK_ANSWER}`)
+}, async ({ http }) => {
+  const response = await http.send(GET)
+  assert.is(response.isOk() && response.value.status, 200)
+}))
+
 test('a request whose connection is reset before the response is not retried', () => withPeer((socket) => socket.resetAndDestroy(), async ({ http, requests }) => {
   const response = await http.send({ ...GET, method: 'POST', body: 'x' })
   assert.is(response.isErr() && response.error.reached, true)
