End a bundled process of the tests that doesn't start in time

Read, not seen: a start that takes longer than 30 s would leave its process behind. Only the harness of BundleAnswers and BundleFuzz is changed.

--- a/packages/bendfall-fakes/src/__tests__/process/BundleHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/BundleHarness.ts
@@ -10,6 +10,7 @@
 
 const ROOT = fileURLToPath(new URL('../../../../../', import.meta.url))
 const START_TIMEOUT_MS = 30_000
+const POLL_MS = 20
 
 /** Outcome of a request; `silent`: no complete response within the time. */
 export type RequestOutcome = number | 'broken' | 'silent'
@@ -48,19 +49,19 @@
     let log = ''
     for (const stream of [child.stdout, child.stderr]) stream.on('data', (bytes: Buffer) => { log += bytes.toString() })
     const hasEnded = (): boolean => child.exitCode !== null || child.signalCode !== null
+    const kill = async (): Promise<void> => {
+      child.kill('SIGKILL')
+      await exit
+    }
     const endsAtMs = performance.now() + START_TIMEOUT_MS
     while (!log.includes('event=started')) {
-      if (hasEnded() || performance.now() > endsAtMs) throw new Error(`the ${role} did not start: ${log}`)
-      await sleep(20)
-    }
-    return {
-      log: () => log,
-      hasEnded,
-      kill: async () => {
-        child.kill('SIGKILL')
-        await exit
+      if (hasEnded() || performance.now() > endsAtMs) {
+        await kill()
+        throw new Error(`the ${role} did not start: ${log}`)
       }
+      await sleep(POLL_MS)
     }
+    return { log: () => log, hasEnded, kill }
   }
 
   return { start, remove: () => rmSync(folder, { recursive: true }) }
