--- a/review/standins-2/Fleet.mjs
+++ b/review/standins-2/Fleet.mjs
@@ -168,6 +168,7 @@
   return {
     address,
     write: (key, value) => put(key, Buffer.from(JSON.stringify(value)).toString('base64')),
+    read: (key) => items.has(key) ? Buffer.from(items.get(key).value, 'base64').toString() : undefined,
     remove,
     close: () => {
       for (const { timer } of leases.values()) clearTimeout(timer)
@@ -207,8 +208,9 @@
  *
  * @param host - loopback address
  * @param onRequest - receives the request and the socket, and writes the answer itself
+ * @param port - 0 for a free one
  */
-export async function startRawServer (host, onRequest) {
+export async function startRawServer (host, onRequest, port = 0) {
   const sockets = new Set()
   const server = createServer({ allowHalfOpen: true }, (socket) => {
     sockets.add(socket)
@@ -230,7 +232,7 @@
       }
     })
   })
-  const address = await listen(server, host)
+  const address = await listen(server, host, port)
   return {
     address,
     close: () => {
