--- a/review/4/Case.mjs
+++ b/review/4/Case.mjs
@@ -52,12 +52,13 @@
   return { id, bytes: `${head.join('\r\n')}\r\n\r\n${body}` }
 }
 
-// A body without a length and without chunked coding is complete when its channel is closed in order (RFC 9112, section 6.3).
+// A body without a length and without chunked coding is complete when its channel is closed in order (RFC 9112, section 6.3);
+// a stream that ends inside an event has been broken off.
 function looksComplete ({ outcome, text }) {
   const head = text.slice(0, text.indexOf('\r\n\r\n')).toLowerCase()
   if (!text.startsWith('HTTP/1.1 200')) return false
   if (head.includes('transfer-encoding: chunked')) return text.endsWith('0\r\n\r\n')
-  return outcome === 'end'
+  return outcome === 'end' && text.endsWith('\n\n')
 }
 
 await runCase(async () => {
