--- a/review/4/Case.mjs
+++ b/review/4/Case.mjs
@@ -8,7 +8,7 @@
 const EVENT_MS = 47
 const STREAMS = 4
 const STAMP = '3e1b.07.5a2.600.0.c9f2a4d1'
-const record = openRecord(import.meta.url)
+const record = openRecord(new URL('record.txt', import.meta.url))
 
 function stream (id, headers, socket) {
   record(`replica: ${headers['x-request-id']} runs on ${id}, answered without a length`)
--- a/review/6/Case.mjs
+++ b/review/6/Case.mjs
@@ -17,7 +17,7 @@
 const ENDS_ALLOWED = 2
 const STAMP = '3e1b.07.5a2.600.0.c9f2a4d1'
 const BYTES_PER_KB = 1_024
-const record = openRecord(import.meta.url)
+const record = openRecord(new URL('record.txt', import.meta.url))
 
 // Only the memory that belongs to the process itself, without the files that it has mapped.
 function privateMb (pid) {
--- a/review/7/Case.mjs
+++ b/review/7/Case.mjs
@@ -12,7 +12,7 @@
 const GRACE_MS = 500
 const ALLOWED = 2
 const STAMP = '3e1b.07.5a2.600.0.c9f2a4d1'
-const record = openRecord(import.meta.url)
+const record = openRecord(new URL('record.txt', import.meta.url))
 
 async function startReplica (store, index) {
   const id = `i-7f3a91c${index}`
--- a/review/standins-2/Fleet.mjs
+++ b/review/standins-2/Fleet.mjs
@@ -8,7 +8,7 @@
 import { createServer as createHttpServer } from 'node:http'
 import { connect, createServer } from 'node:net'
 import { tmpdir } from 'node:os'
-import { dirname, join } from 'node:path'
+import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
@@ -42,9 +42,9 @@
   'thaw-ms': 300
 }
 
-/** Opens the record of a case and returns a function that writes a line to it. */
-export function openRecord (caseUrl) {
-  const file = join(dirname(fileURLToPath(caseUrl)), 'record.txt')
+/** Empties the record of a case and returns a function that adds a line to it. */
+export function openRecord (url) {
+  const file = fileURLToPath(url)
   writeFileSync(file, '')
   const start = performance.now()
   return (line) => appendFileSync(file, `${((performance.now() - start) / 1000).toFixed(3)} ${line}\n`)
