--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -9,7 +9,7 @@
 import type { Clock, Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { createSuspensionWatch, createSystemClock, createTeardownStack, createUpdateLoop, listen, listenForPeers } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
-import { ALLOTMENT_ROLES, createRouterState, credentialsOf, hasLimit, areKeysFresh, reduceRouter, TICK_MS } from 'bendfall-router'
+import { ALLOTMENT_ROLES, createRouterState, credentialsOf, hasLimit, isLeaving, areKeysFresh, reduceRouter, TICK_MS } from 'bendfall-router'
 import type { Customer, PoolIntent, RouterEffect, RouterEvent, RouterState } from 'bendfall-router'
 import type { Dialect } from './BendfallEdgeDialect.js'
 import type { EdgeSettings } from './BendfallEdgeSettings.js'
@@ -37,7 +37,7 @@
 import { registerOrigins } from './origins/BendfallEdgeOrigins.js'
 import { registerPools } from './pools/BendfallEdgePools.js'
 import { registerHolds } from './replica/BendfallEdgeHolds.js'
-import { registerReplicaChecks } from './replica/BendfallEdgeReplicaChecks.js'
+import { checkReplica, registerReplicaChecks } from './replica/BendfallEdgeReplicaChecks.js'
 import { createReplicaPools } from './replica/BendfallEdgeReplicaPools.js'
 import { registerSends } from './replica/BendfallEdgeSends.js'
 
@@ -134,6 +134,11 @@
     exchanges,
     poolOf: pools.get,
     hasLimit: (replicaId) => hasLimit(state, replicaId),
+    isExiting: (replicaId) => {
+      const view = state.replicas.get(replicaId)
+      return view === undefined || isLeaving(state, view)
+    },
+    checkReplica: (address, onOutcome) => checkReplica(address, onConnect, onOutcome),
     gate,
     onInvalidResponse: (requestId, detail) => {
       metrics.count('bendfall_answers_garbled_total')
--- a/packages/bendfall-edge/src/caller/BendfallEdgeRequestPipeline.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeRequestPipeline.ts
@@ -118,6 +118,6 @@
 }
 
 function rejectRemaining (socket: Duplex, status: number): void {
-  if (socket.writable) socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`)
+  if (socket.writable) socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`)
   else socket.destroy()
 }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaChecks.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaChecks.ts
@@ -22,12 +22,23 @@
  */
 export function registerReplicaChecks ({ loop, onConnect }: ReplicaCheckOptions): Teardown {
   return loop.registerEffect('check_replica', ({ address, replicaId, startedAtMs }) => {
-    const [host = '', port = ''] = address.split(':')
-    connectReplica({ host, port: Number(port), onEnd: () => {} }, (...[error, socket]) => {
-      if (error === null) onConnect()
-      socket?.destroy()
-      loop.dispatch({ type: 'replica_checked', replicaId, startedAtMs, outcome: error === null ? 'alive' : outcomeOf(error) })
-    })
+    checkReplica(address, onConnect, (outcome) => loop.dispatch({ type: 'replica_checked', replicaId, startedAtMs, outcome }))
+  })
+}
+
+/**
+ * Checks whether a process accepts connections at an address.
+ *
+ * @param address - `ip:port` of the replica
+ * @param onConnect - called if a connection was opened
+ * @param onOutcome - called once with the outcome
+ */
+export function checkReplica (address: string, onConnect: () => void, onOutcome: (outcome: ProcessCheck) => void): void {
+  const [host = '', port = ''] = address.split(':')
+  connectReplica({ host, port: Number(port), onEnd: () => {} }, (...[error, socket]) => {
+    if (error === null) onConnect()
+    socket?.destroy()
+    onOutcome(error === null ? 'alive' : outcomeOf(error))
   })
 }
 
--- a/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
@@ -7,7 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { UpdateLoop } from 'bendfall-node'
 import type { ResponseFraming } from 'bendfall-platform'
-import type { RouterEffect, RouterEffectOf, RouterEvent, SendFailure } from 'bendfall-router'
+import type { ProcessCheck, RouterEffect, RouterEffectOf, RouterEvent, SendFailure } from 'bendfall-router'
 import type { ResponseHead } from '../BendfallEdgeDialect.js'
 import type { Exchange, BufferedResponse, ReplicaBuffer } from '../caller/BendfallEdgeExchange.js'
 import type { IdentifiedListener } from './BendfallEdgeIdentifiedCall.js'
@@ -32,6 +32,10 @@
   readonly onInvalidResponse: (requestId: string, detail: string) => void
   /** Called for close-delimited responses, since nothing else indicates whether they are complete. */
   readonly onCloseDelimitedResponse: (response: CloseDelimitedResponse) => void
+  /** @returns whether the replica is expected to exit once it has responded */
+  readonly isExiting: (replicaId: string) => boolean
+  /** Checks whether a process accepts connections at an address. */
+  readonly checkReplica: (address: string, onOutcome: (outcome: ProcessCheck) => void) => void
   /** Returns the current send; undefined once it has been aborted. */
   readonly send: () => RunSend | undefined
 }
@@ -103,6 +107,26 @@
   handleEnd (framing: ResponseFraming): void {
     if (this.isOver) return
     if (this.isTruncated(framing)) return this.failTruncated()
+    if (framing === 'connection') this.verifyEnd()
+    else this.complete(framing)
+  }
+
+  // A killed replica closes its connections gracefully, too. The length or last chunk that the caller gets
+  // would then present a truncated response as complete, unless the process is seen to have survived it.
+  private verifyEnd (): void {
+    const send = this.options.send()
+    const { address, replicaId } = this.effect
+    if (this.options.isExiting(replicaId)) return this.complete('connection')
+    this.options.checkReplica(address, (outcome) => {
+      // The send may have been aborted or failed in the meantime.
+      if (this.isOver || this.options.send() !== send) return
+      if (outcome === 'alive') return this.complete('connection')
+      this.options.onInvalidResponse(this.exchange.caller.requestId, 'close-delimited response of a process that has ended')
+      this.fail('connection_lost')
+    })
+  }
+
+  private complete (framing: ResponseFraming): void {
     this.isOver = true
     // Bytes after the last empty line are part of the replica's response, too.
     this.relay(this.splitter.tail())
@@ -172,13 +196,10 @@
     this.chunks.length = 0
   }
 
-  // Returns whether a close-delimited event stream was truncated. A graceful close proves nothing,
-  // since the kernel closes the connections of a terminated replica the same way. After a complete
-  // event truncation can't be detected. Within an event, or before the first one, the response is
-  // incomplete, and a last chunk added by the router would make it look complete.
+  // Returns whether a close-delimited event stream was truncated: within an event, or before the first
+  // one. A graceful close after a complete event is the end, if the process survives it.
   private isTruncated (framing: ResponseFraming): boolean {
     if (!this.isEventStream() || framing !== 'connection') return false
-    if (this.hasResponseStarted() && !this.exchange.isCloseDelimited()) return true
     return this.splitter.isWithinEvent() || (this.outputEvents === 0 && this.effect.lastEventId === undefined)
   }
 
