Reserve the memory of requests before their bodies are read

Cause: the memory guard counted a body only once it was complete, and was asked when the head arrived. Chunks were kept one by one, so that a body in chunks of one byte ended the process by itself, and joining them doubled the body.

Change: a request reserves its head and declared length before the body is read, or as it arrives in chunks; what finds no room is refused at once (503), frees its memory, and keeps its connection. Bodies are copied into one buffer. Stalled bodies make room for others (408).

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -114,6 +114,7 @@
     limits: () => state.config?.limits ?? INITIAL_LIMITS,
     isStopping: () => isStopping,
     refuseNew: memory.refuseNew,
+    memory: memory.requests,
     isAcceptLate: state.decisions.closedCallers === 'ignored' ? undefined : loopDelay.isAcceptLate,
     observeRead: state.decisions.closedCallers === 'ignored' ? undefined : loopDelay.observeRead,
     onRejected: (status, message, requestId) => {
--- a/packages/bendfall-edge/src/caller/BendfallEdgeMemoryGuard.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeMemoryGuard.ts
@@ -11,6 +11,8 @@
 import type { CallerBuffer, MemoryBounds } from './BendfallEdgeMemoryPolicy.js'
 import type { OpenExchanges } from './BendfallEdgeOpenExchanges.js'
 import { createReadRates } from './BendfallEdgeReadRates.js'
+import { createRequestMemory } from './BendfallEdgeRequestMemory.js'
+import type { RequestMemory } from './BendfallEdgeRequestMemory.js'
 
 /** Dependencies of the guard. */
 export interface MemoryGuardOptions {
@@ -28,6 +30,8 @@
 export interface MemoryGuard {
   /** @returns undefined if a new request is admitted, else the milliseconds after which its caller should return */
   readonly refuseNew: () => number | undefined
+  /** Memory of the requests, for the server that reads them. */
+  readonly requests: RequestMemory
   readonly close: () => void
 }
 
@@ -42,12 +46,20 @@
  */
 export function registerMemoryGuard (options: MemoryGuardOptions): MemoryGuard {
   const { metrics, open } = options
-  metrics.gauge('bendfall_buffered_bytes', () => open.list().reduce((sum, exchange) => sum + exchange.unreadBytes() + otherBytesOf(exchange), 0))
-  if (options.memoryMb === undefined) return { refuseNew: () => undefined, close: () => {} }
-  return startGuard(options, memoryBoundsOf(options.memoryMb))
+  const bounds = options.memoryMb === undefined ? undefined : memoryBoundsOf(options.memoryMb)
+  const requests = createRequestMemory(bounds?.bufferBytes ?? Infinity)
+  metrics.gauge('bendfall_buffered_bytes', () => open.list().reduce((sum, exchange) => sum + exchange.unreadBytes() + otherBytesOf(exchange), incompleteBytesOf(requests, open)))
+  metrics.gauge('bendfall_request_bytes', requests.reservedBytes)
+  if (bounds === undefined) return { refuseNew: () => undefined, requests, close: () => {} }
+  return startGuard(options, bounds, requests)
 }
 
-function startGuard ({ clock, logger, metrics, open, readProcessBytes }: MemoryGuardOptions, bounds: MemoryBounds): MemoryGuard {
+// Bytes reserved for requests that have no exchange yet, since they have not been read completely.
+function incompleteBytesOf (requests: RequestMemory, open: OpenExchanges): number {
+  return Math.max(0, requests.reservedBytes() - open.list().reduce((sum, { body }) => sum + body.length, 0))
+}
+
+function startGuard ({ clock, logger, metrics, open, readProcessBytes }: MemoryGuardOptions, bounds: MemoryBounds, requests: RequestMemory): MemoryGuard {
   const rates = createReadRates()
   let refusedShare = 0
   let cancel = (): void => {}
@@ -56,7 +68,8 @@
     const exchanges = new Map(open.list().map((exchange) => [exchange.key, exchange]))
     const buffers = [...exchanges.values()].map((exchange) => readBuffer(exchange, clock.nowMs()))
     for (const caller of chooseCuts(buffers, bounds)) cut(exchanges.get(caller.key) as Exchange, caller, sumOf(buffers))
-    updateRefusedShare(sumOf(buffers), buffers.reduce((sum, { otherBytes }) => sum + otherBytes, 0))
+    const incompleteBytes = incompleteBytesOf(requests, open)
+    updateRefusedShare(sumOf(buffers) + incompleteBytes, buffers.reduce((sum, { otherBytes }) => sum + otherBytes, incompleteBytes))
     cancel = clock.callAt(clock.nowMs() + CHECK_INTERVAL_MS, check)
   }
 
@@ -85,6 +98,7 @@
       metrics.count('bendfall_refused_early_total', { reason: 'memory' })
       return retryAfterMsOf(Math.random())
     },
+    requests,
     close: () => cancel()
   }
 }
--- a/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
@@ -8,8 +8,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { CallerLimits } from 'bendfall-router'
 import type { CallerDialect, CallerRequest } from '../BendfallEdgeDialect.js'
-import { registerRequestPipeline } from './BendfallEdgeRequestPipeline.js'
+import { declaredBytesOf, startBodyReader } from './BendfallEdgeBodyReader.js'
+import type { BodyReader } from './BendfallEdgeBodyReader.js'
 import { refuse } from './BendfallEdgeExchange.js'
+import { retryAfterMsOf } from './BendfallEdgeMemoryPolicy.js'
+import { createRequestMemory } from './BendfallEdgeRequestMemory.js'
+import type { RequestMemory, Reservation } from './BendfallEdgeRequestMemory.js'
+import { registerRequestPipeline } from './BendfallEdgeRequestPipeline.js'
 
 /** A caller's request whose body has been read completely. */
 export interface CompleteRequest {
@@ -31,6 +36,8 @@
   readonly isStopping: () => boolean
   /** Returns undefined if a new request is admitted, else the milliseconds after which its caller should return; omitted: all are admitted. */
   readonly refuseNew?: () => number | undefined
+  /** Memory of the requests; omitted: it is not bounded. */
+  readonly memory?: RequestMemory
   /** Returns whether a connection that is accepted now may have waited for long; omitted: none has. */
   readonly isAcceptLate?: () => boolean
   /** Returns how long data that is read now has been unread at least; called once for each read. Omitted: unknown. */
@@ -44,6 +51,11 @@
 export const INITIAL_LIMITS: CallerLimits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
 
 const SERVICE_UNAVAILABLE = 503
+const REQUEST_TIMEOUT = 408
+const CONTENT_TOO_LARGE = 413
+
+/** Memory of a request besides its head and body: its objects, and what the router keeps about it. */
+const REQUEST_OVERHEAD_BYTES = 8_192
 
 /** Added to the callers' idle timeout, so that no connection is closed while a request is being sent. */
 const IDLE_MARGIN_MS = 1_000
@@ -70,10 +82,19 @@
 export function createCallerServer (options: CallerServerOptions): CallerServer {
   const server = createServer({ maxHeaderSize: MAX_PARSED_HEAD_BYTES, connectionsCheckingInterval: 1_000 })
   const pipeline = registerRequestPipeline(server)
+  const memory = options.memory ?? createRequestMemory(Infinity)
+  const readers = new Set<OpenReader>()
+  const reservations = new WeakMap<object, Set<Reservation>>()
   if (options.observeRead !== undefined) server.on('connection', options.observeRead)
   // Their first request and a close behind it may have arrived together, but are read in two turns of the event loop.
   const lateConnections = new WeakSet<object>()
-  server.on('connection', (socket) => { if (options.isAcceptLate?.() === true) lateConnections.add(socket) })
+  server.on('connection', (socket) => {
+    if (options.isAcceptLate?.() === true) lateConnections.add(socket)
+    // The responses to queued requests emit no `close` if their connection ends.
+    const held = new Set<Reservation>()
+    reservations.set(socket, held)
+    socket.once('close', () => { for (const reservation of held) reservation.release() })
+  })
   server.on('request', (request, response) => {
     const arrivedMs = performance.now() - (options.observeRead?.() ?? 0)
     request.on('error', ignoreError)
@@ -82,11 +103,47 @@
     // a replica keeps working for a caller that has disconnected. At most one body is read ahead.
     const isNext = pipeline.waiting(request) === 0
     const mayHideClose = lateConnections.delete(request.socket) || !isNext
-    const readAhead = isNext ? readBody(request, options.limits().bodyBytes) : undefined
-    const hasNext = (): boolean => pipeline.hasNext(request)
-    pipeline.enqueue(request, response, () => handleRequest(options, { request, response, hasNext, mayHideClose, queuedMs: performance.now() - arrivedMs, readAhead }))
+    const started = { request, response, hasNext: () => pipeline.hasNext(request), mayHideClose, arrivedMs, reservation: reserve(request, response) }
+    const readAhead = isNext ? readBody(started) : undefined
+    pipeline.enqueue(request, response, () => handleRequest(options, { ...started, readBody: () => readAhead ?? readBody(started) }))
   })
 
+  function reserve (request: IncomingMessage, response: ServerResponse): Reservation | undefined {
+    const reservation = memory.reserve(headBytes(request) + REQUEST_OVERHEAD_BYTES)
+    if (reservation === undefined) return undefined
+    const held = reservations.get(request.socket)
+    held?.add(reservation)
+    response.once('close', () => {
+      held?.delete(reservation)
+      reservation.release()
+    })
+    return reservation
+  }
+
+  function readBody ({ arrivedMs, request, reservation, response }: ArrivedRequest): OpenReader | undefined {
+    const maxBytes = options.limits().bodyBytes
+    if (reservation === undefined || (declaredBytesOf(request) ?? 0) > maxBytes) return undefined
+    const body = startBodyReader(request, { maxBytes, reservation, makeRoom: refuseStalled })
+    if (body === undefined) return undefined
+    const reader: OpenReader = { body, deadlineAtMs: arrivedMs + BODY_TIMEOUT_MS, isRefused: false, onRefused: () => {} }
+    readers.add(reader)
+    response.once('close', () => readers.delete(reader))
+    request.socket.once('close', () => readers.delete(reader))
+    return reader
+  }
+
+  // Bodies that are stalled, or won't be complete before their callers give up, make room for others.
+  function refuseStalled (): void {
+    const nowMs = performance.now()
+    for (const reader of [...readers]) {
+      if (!reader.body.isStalled(nowMs, reader.deadlineAtMs)) continue
+      readers.delete(reader)
+      reader.body.discard()
+      reader.isRefused = true
+      reader.onRefused()
+    }
+  }
+
   function applyLimits (): void {
     const limits = options.limits()
     server.headersTimeout = limits.headerTimeoutMs
@@ -98,36 +155,60 @@
   return { server, applyLimits }
 }
 
+/** A body that is being read for a request. */
+interface OpenReader {
+  readonly body: BodyReader
+  deadlineAtMs: number
+  /** Whether the request is refused because its body was stalled. */
+  isRefused: boolean
+  /** Called when that happens, once the request has reached the head of its queue. */
+  onRefused: () => void
+}
+
+/** A request whose head has arrived. */
+interface ArrivedRequest extends Pick<CompleteRequest, 'request' | 'response' | 'mayHideClose' | 'hasNext'> {
+  readonly arrivedMs: number
+  /** Memory of the request; undefined if there was no room. */
+  readonly reservation?: Reservation
+}
+
 /** A request that has reached the head of its connection's queue. */
-interface StartedRequest extends Pick<CompleteRequest, 'request' | 'response' | 'mayHideClose' | 'hasNext'> {
-  /** Time since the request arrived, as far as it is known. */
-  readonly queuedMs: number
-  /** Reader of the body, if reading began while the request was queued. */
-  readonly readAhead?: BodyReader
+interface StartedRequest extends ArrivedRequest {
+  /** Returns the reader of the body, which may have begun while the request was queued; undefined if there is no memory. */
+  readonly readBody: () => OpenReader | undefined
 }
 
-function handleRequest (options: CallerServerOptions, { hasNext, mayHideClose, readAhead, request, response, queuedMs }: StartedRequest): void {
+function handleRequest (options: CallerServerOptions, { arrivedMs, hasNext, mayHideClose, readBody, request, reservation, response }: StartedRequest): void {
   const reject = (status: number, message: string, requestId?: string): void => {
     options.onRejected(status, message, requestId)
     refuse(response, status, message, true, requestId)
   }
+  // Frees the memory at once. The connection stays open until the rest of the body has been read and
+  // discarded: unread bytes would reset it before the caller has read the refusal.
+  const refuseForMemory = (retryAfterMs: number, requestId?: string): void => {
+    reservation?.release()
+    request.resume()
+    options.onRejected(SERVICE_UNAVAILABLE, 'memory low', requestId)
+    refuse(response, SERVICE_UNAVAILABLE, 'memory_low', options.isStopping() && !hasNext(), requestId, retryAfterMs)
+  }
   const limits = options.limits()
   if (headBytes(request) > limits.headerBytes) return reject(431, 'request head too large')
   const decoded = options.dialect.readRequest(request.rawHeaders)
   if (decoded.isErr()) return reject(decoded.error.status, decoded.error.message)
-  const caller = subtractQueueTime(decoded.value, queuedMs)
+  const caller = subtractQueueTime(decoded.value, performance.now() - arrivedMs)
+  const { deadlineMs = BODY_TIMEOUT_MS, requestId } = caller
+  if ((declaredBytesOf(request) ?? 0) > limits.bodyBytes) return reject(CONTENT_TOO_LARGE, 'request body too large', requestId)
   const retryAfterMs = options.refuseNew?.()
-  if (retryAfterMs !== undefined) {
-    // Unread bytes of the body would reset the connection before the caller has read the refusal.
-    request.resume()
-    options.onRejected(SERVICE_UNAVAILABLE, 'memory low', caller.requestId)
-    return refuse(response, SERVICE_UNAVAILABLE, 'memory_low', !hasNext(), caller.requestId, retryAfterMs)
-  }
-  if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return reject(413, 'request body too large', caller.requestId)
-  const reader = readAhead ?? readBody(request, limits.bodyBytes)
-  reader.onComplete((body) => {
-    if (body === undefined) reject(413, 'request body too large', caller.requestId)
-    else options.onRequest({ request, response, caller, body, mayHideClose, hasNext })
+  const reader = retryAfterMs === undefined ? readBody() : undefined
+  if (reader === undefined) return refuseForMemory(retryAfterMs ?? retryAfterMsOf(Math.random()), requestId)
+  reader.deadlineAtMs = performance.now() + Math.min(deadlineMs, BODY_TIMEOUT_MS)
+  reader.onRefused = () => reject(REQUEST_TIMEOUT, 'request body stalled', requestId)
+  if (reader.isRefused) return reader.onRefused()
+  reader.body.onComplete((outcome) => {
+    if (outcome.type === 'complete') return options.onRequest({ request, response, caller, body: outcome.body, mayHideClose, hasNext })
+    reader.body.discard()
+    if (outcome.type === 'too_large') reject(CONTENT_TOO_LARGE, 'request body too large', requestId)
+    else refuseForMemory(retryAfterMsOf(Math.random()), requestId)
   })
 }
 
@@ -136,36 +217,6 @@
   return caller.deadlineMs === undefined ? caller : { ...caller, deadlineMs: caller.deadlineMs - queuedMs }
 }
 
-/** Reads a request body, starting at its creation. */
-interface BodyReader {
-  /** @param listener - receives the complete body, or undefined if it is too large */
-  readonly onComplete: (listener: (body: Buffer | undefined) => void) => void
-}
-
-function readBody (request: IncomingMessage, maxBytes: number): BodyReader {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  let isComplete = false
-  let listener: (body: Buffer | undefined) => void = () => {}
-  const notifyListener = (): void => listener(bytes > maxBytes ? undefined : Buffer.concat(chunks))
-
-  request.on('data', (chunk: Buffer) => {
-    bytes += chunk.length
-    if (bytes <= maxBytes) chunks.push(chunk)
-  })
-  // An interrupted request never emits `end`; its connection is closed in that case.
-  request.once('end', () => {
-    isComplete = true
-    notifyListener()
-  })
-  return {
-    onComplete: (newListener) => {
-      listener = newListener
-      if (isComplete) notifyListener()
-    }
-  }
-}
-
 function headBytes (request: IncomingMessage): number {
   const line = (request.method?.length ?? 0) + (request.url?.length ?? 0)
   return request.rawHeaders.reduce((sum, part) => sum + part.length, line)
--- a/packages/bendfall-fakes/src/__tests__/process/BundleHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/BundleHarness.ts
@@ -27,6 +27,7 @@
 
 /** A process of the bundled service. */
 export interface BundledProcess {
+  readonly pid: number
   /** @returns what the process has logged */
   readonly log: () => string
   readonly hasEnded: () => boolean
@@ -61,7 +62,7 @@
       }
       await sleep(POLL_MS)
     }
-    return { log: () => log, hasEnded, kill }
+    return { pid: child.pid ?? 0, log: () => log, hasEnded, kill }
   }
 
   return { start, remove: () => rmSync(folder, { recursive: true }) }
