Keep what a restarted replica says of itself before it registers

Cause: a notice was recorded for the registered process. One that restarts under its id answers before its registration arrives, so that its notice counted as one of the former process and was dropped with it. Limits took the same way.

Change: a refused connection shows that the registered process has ended. Its notices and limit end at once; what is said afterwards is the successor's and is kept when that one registers. Without a refused connection a backoff that may be the successor's is kept for 10 s at most, and a shutdown is dropped.

--- a/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
@@ -7,7 +7,7 @@
  */
 import type { ConnectionEnd } from 'bendfall-platform'
 import { Client } from 'undici'
-import { connectReplica } from './BendfallEdgeReplicaSocket.js'
+import { connectReplica, isConnectionRefused } from './BendfallEdgeReplicaSocket.js'
 import type { ConnectCallback, ReplicaSocket } from './BendfallEdgeReplicaSocket.js'
 
 /** Idle time after which a connection is closed if the replica doesn't specify one. */
@@ -75,9 +75,10 @@
  *
  * @param address - `ip:port` of the replica
  * @param onConnect - called for each opened connection
+ * @param onRefused - called if nothing listens at the address, before the call fails
  * @returns the pool
  */
-export function createConnectionPool (address: string, onConnect: () => void): ConnectionPool {
+export function createConnectionPool (address: string, onConnect: () => void, onRefused: () => void = () => {}): ConnectionPool {
   const idle: IdleConnection[] = []
   const allClients = new Set<Client>()
 
@@ -96,7 +97,7 @@
           if (result[0] === null) {
             socket = result[1]
             onConnect()
-          }
+          } else if (isConnectionRefused(result[0])) onRefused()
           ;(callback as ConnectCallback)(...result)
         })
       },
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaChecks.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaChecks.ts
@@ -5,7 +5,7 @@
  */
 import type { Teardown, UpdateLoop } from 'bendfall-node'
 import type { ProcessCheck, RouterEffect, RouterEvent } from 'bendfall-router'
-import { connectReplica } from './BendfallEdgeReplicaSocket.js'
+import { connectReplica, isConnectionRefused } from './BendfallEdgeReplicaSocket.js'
 
 /** Dependencies of the checks. */
 export interface ReplicaCheckOptions {
@@ -22,7 +22,10 @@
  */
 export function registerReplicaChecks ({ loop, onConnect }: ReplicaCheckOptions): Teardown {
   return loop.registerEffect('check_replica', ({ address, replicaId, startedAtMs }) => {
-    checkReplica(address, onConnect, (outcome) => loop.dispatch({ type: 'replica_checked', replicaId, startedAtMs, outcome }))
+    checkReplica(address, onConnect, (outcome) => {
+      if (outcome === 'ended') loop.dispatch({ type: 'connection_refused', address })
+      loop.dispatch({ type: 'replica_checked', replicaId, startedAtMs, outcome })
+    })
   })
 }
 
@@ -43,5 +46,5 @@
 }
 
 function outcomeOf (error: NodeJS.ErrnoException): ProcessCheck {
-  return error.code === 'ECONNREFUSED' ? 'ended' : 'unanswered'
+  return isConnectionRefused(error) ? 'ended' : 'unanswered'
 }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaPools.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaPools.ts
@@ -19,15 +19,16 @@
  * Creates a collection of pools, one per replica, which are opened on demand.
  *
  * @param onConnect - called for each opened connection
+ * @param onRefused - called with the address of a replica at which nothing listens
  * @returns the pools
  */
-export function createReplicaPools (onConnect: () => void): ReplicaPools {
+export function createReplicaPools (onConnect: () => void, onRefused: (address: string) => void = () => {}): ReplicaPools {
   const pools = new Map<string, ConnectionPool>()
   return {
     get: (address) => {
       const existing = pools.get(address)
       if (existing !== undefined) return existing
-      const created = createConnectionPool(address, onConnect)
+      const created = createConnectionPool(address, onConnect, () => onRefused(address))
       pools.set(address, created)
       return created
     },
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaSocket.ts
@@ -83,6 +83,16 @@
   }
 }
 
+/**
+ * Checks whether a connection failed because nothing listens at its address.
+ *
+ * @param error - error with which it failed
+ * @returns true if the connection was refused
+ */
+export function isConnectionRefused (error: NodeJS.ErrnoException): boolean {
+  return error.code === 'ECONNREFUSED'
+}
+
 function isReset (error: NodeJS.ErrnoException | null): boolean {
   return error?.code === 'ECONNRESET'
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterContext.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterContext.ts
@@ -17,6 +17,8 @@
   readonly nowMs: number
   /** Time since the previous event. */
   readonly sinceLastEventMs: number
+  /** Time of day; undefined where it isn't known. */
+  readonly unixMs?: number
   readonly effects: RouterEffect[]
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -86,6 +86,8 @@
   readonly atMs: number
   /** Time for which the machine may have been suspended since the last event; not included in `atMs`. */
   readonly suspendedMs?: number
+  /** Time of day of this process, with which the start times of replicas are compared. */
+  readonly unixMs?: number
 }
 
 /** An event with its time. */
@@ -129,6 +131,8 @@
   | { readonly type: 'balance_due', readonly fence?: number }
   /** A replica reported its status in the head of a response to any request, which was sent at `sentAtMs`. */
   | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice, readonly sentAtMs?: number }
+  /** Nothing listens at the address of a replica. */
+  | { readonly type: 'connection_refused', readonly address: string }
   /** Limits that other entries have learned of. */
   | { readonly type: 'limits_learned', readonly limits: readonly NamedLimit[] }
   /** Answer of the permit leader, or its absence. */
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -39,6 +39,7 @@
 import { detectPause, park, unpark } from './BendfallRouterPause.js'
 import { recordOverdueCalls, recordUnanswered } from './BendfallRouterStalls.js'
 import { confirmHistory } from '../streams/BendfallRouterSoftwareHistory.js'
+import { recordConnectionRefused } from './BendfallRouterSuccession.js'
 import { shrinkSubsets, updateSubset } from './BendfallRouterSubset.js'
 import { servicesWithPriorities } from './BendfallRouterUrgency.js'
 
@@ -92,6 +93,7 @@
   }),
   config_learned: (context, event) => applyConfig(context, event),
   config_proven: ({ state }, { provenAtMs }) => { state.configVerifiedAtMs = Math.max(state.configVerifiedAtMs, provenAtMs) },
+  connection_refused: (context, event) => recordConnectionRefused(context, event.address),
   confirm_answered: (context, event) => inPhase(context, event, 'confirm', (request) => handleConfirmAnswer(context, request, event.outcome)),
   crash_report_learned: (context, event) => {
     handleCrashReport(context, event)
@@ -199,7 +201,7 @@
  * @returns effects in the order in which they are carried out
  */
 export function reduceRouter (state: RouterState, event: RouterEvent): RouterEffect[] {
-  const context: RouterContext = { state, nowMs: event.atMs, sinceLastEventMs: event.atMs - state.lastEventAtMs, effects: [] }
+  const context: RouterContext = { state, nowMs: event.atMs, sinceLastEventMs: event.atMs - state.lastEventAtMs, unixMs: event.unixMs, effects: [] }
   detectPause(context, event.suspendedMs)
   const handle = HANDLERS[event.type] as Handler<RouterEvent['type']>
   handle(context, event)
--- a/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
@@ -6,11 +6,11 @@
  * @module
  */
 import type { Replica } from '../BendfallRouterTypes.js'
-import { formatProcessName } from '../crashes/BendfallRouterCrashRecords.js'
 import { recordProcessEnded } from './BendfallRouterCrashes.js'
 import { removeReplica } from './BendfallRouterMembers.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RequestState } from './BendfallRouterRequest.js'
+import { inheritStatus } from './BendfallRouterSuccession.js'
 
 /**
  * Discards all state of the previous process of a replica and fails the sends to it.
@@ -20,11 +20,10 @@
  */
 export function endPreviousIncarnation (context: RouterContext, replica: Replica): void {
   const { effects, state } = context
-  const previous = state.replicas.get(replica.replicaId)?.replica
+  const previous = state.replicas.get(replica.replicaId)
   if (previous !== undefined) {
-    recordProcessEnded(context, previous, 'registration')
-    // Without start times, both processes have the same name.
-    state.notices.delete(formatProcessName(previous))
+    recordProcessEnded(context, previous.replica, 'registration')
+    inheritStatus(context, previous, replica)
   }
   const wasKnown = removeReplica(state, replica.replicaId)
   if (wasKnown) removeOrders(context, replica)
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -47,6 +47,8 @@
   replica: Replica
   /** Software that it runs. */
   software: SoftwareDigest
+  /** When the registered process was last seen to have ended; what answers afterwards is its successor. */
+  endedAtMs?: number
   /** Score that ranks the replica for the subset that this entry uses. */
   readonly subsetScore: number
   load?: ReplicaLoad
--- a/packages/bendfall-router/src/limits/BendfallRouterReplicaLimits.ts
+++ b/packages/bendfall-router/src/limits/BendfallRouterReplicaLimits.ts
@@ -93,6 +93,20 @@
   return change
 }
 
+/**
+ * Moves the limit of a process to the name under which it is known from now on.
+ *
+ * @param limits - changed in place
+ * @param from - name under which it was learned
+ * @param to - name of the process that advertised it
+ */
+export function moveLimit (limits: ReplicaLimits, from: string, to: string): void {
+  const limit = limits.get(from)
+  limits.delete(from)
+  // The permits that were asked for under the former name are of no use under this one.
+  if (limit !== undefined) addLimit(limits, { ...limit, processName: to }, limit.wantedSinceMs)
+}
+
 /**
  * Adds a limit that other entries have learned.
  *
--- a/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
+++ b/packages/bendfall-router/src/notices/BendfallRouterNotices.ts
@@ -24,6 +24,8 @@
 interface ProcessStatus {
   readonly isLeaving: boolean
   readonly backoffUntilMs: number
+  /** When the last notice was received. */
+  readonly heardAtMs: number
 }
 
 /** Notices by process name, oldest first. */
@@ -47,16 +49,46 @@
  */
 export function recordNotice (notices: ReplicaNotices, processName: string, { backoffMs = 0, isLeaving }: ReplicaNotice, nowMs: number): NoticeChange {
   if (!isLeaving && backoffMs <= 0) return 'nothing'
-  const known = notices.get(processName) ?? { isLeaving: false, backoffUntilMs: -Infinity }
+  const known = notices.get(processName) ?? { isLeaving: false, backoffUntilMs: -Infinity, heardAtMs: -Infinity }
   const backoffUntilMs = Math.max(known.backoffUntilMs, nowMs + backoffMs)
   notices.delete(processName)
-  notices.set(processName, { isLeaving: known.isLeaving || isLeaving, backoffUntilMs })
+  notices.set(processName, { isLeaving: known.isLeaving || isLeaving, backoffUntilMs, heardAtMs: nowMs })
   const [oldest] = notices.keys()
   if (notices.size > MAX_PROCESSES && oldest !== undefined) notices.delete(oldest)
   if (isLeaving && !known.isLeaving) return 'leaves'
   return known.backoffUntilMs <= nowMs && backoffMs > 0 ? 'backs_off' : 'nothing'
 }
 
+/**
+ * Moves the notices of a process to the name under which it is known from now on.
+ *
+ * @param notices - changed in place
+ * @param from - name under which they were recorded
+ * @param to - name of the process that sent them
+ */
+export function moveNotices (notices: ReplicaNotices, from: string, to: string): void {
+  const status = notices.get(from)
+  notices.delete(from)
+  if (status !== undefined) notices.set(to, status)
+}
+
+/**
+ * Moves a backoff to a process that may have requested it, where it can't be told from the previous one. It is
+ * shortened, since that one may have requested a long time.
+ *
+ * @param notices - changed in place
+ * @param from - name under which it was recorded
+ * @param to - name of the process that may have requested it
+ * @param sinceMs - notices before this time are of the previous process and are dropped
+ * @param maxUntilMs - latest end of the backoff
+ */
+export function moveAmbiguousBackoff (notices: ReplicaNotices, from: string, to: string, sinceMs: number, maxUntilMs: number): void {
+  const status = notices.get(from)
+  notices.delete(from)
+  if (status === undefined || status.heardAtMs < sinceMs) return
+  notices.set(to, { ...status, isLeaving: false, backoffUntilMs: Math.min(status.backoffUntilMs, maxUntilMs) })
+}
+
 /**
  * Returns whether a process has reported that it is shutting down.
  *
