Infer no version for resumed streams right after a start

Cause: for callers that don't name the request that began their stream the entry took the only version that it had known, however short the time. After a restart that is the new one.

Change: these streams follow the rule for those of unknown origin: one version alone, watched without a gap for longer than a stream lasts, else a refusal as not run.

The test that such a stream goes on where one version alone is known, however short the time, demanded the fault; it is replaced by one for an entry that has watched and one for an entry that has just started.

--- a/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
@@ -67,8 +67,8 @@
   readonly addReplica: (stage: 'prefill' | 'decode', softwareVersion: string) => Promise<void>
   /** Returns why the entries ended resumed streams without a replica's response, with counts. */
   readonly refusalReasons: () => string
-  /** Kills the processes of entries and starts them again. */
-  readonly killEntries: (indexes: readonly number[]) => Promise<void>
+  /** Kills the processes of entries and starts them again, by default at once. */
+  readonly killEntries: (indexes: readonly number[], downMs?: number) => Promise<void>
 }
 
 /** Streams of all callers, counted. */
@@ -162,9 +162,10 @@
     replicas: () => [...running],
     addReplica,
     refusalReasons: () => countReasons(entries.flatMap(({ lines }) => lines)),
-    killEntries: async (indexes) => {
+    killEntries: async (indexes, downMs = 0) => {
       await Promise.all(indexes.map(async (index) => {
         await kill(entries[index] as ListeningProcess)
+        await sleep(downMs)
         entries[index] = await startNode('entry', settings[index] as EdgeSettings)
       }))
     }
@@ -188,7 +189,7 @@
 }
 
 /** Behavior of all callers. */
-export interface RunCallersOptions extends Pick<CallerOptions, 'leavesAfter' | 'onReceiving'> {
+export interface RunCallersOptions extends Pick<CallerOptions, 'leavesAfter' | 'namesFirstRequest' | 'onReceiving'> {
   /** Receives each stream when it ends. */
   readonly streams?: CallerStream[]
 }
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesStreamCaller.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesStreamCaller.ts
@@ -35,6 +35,8 @@
   readonly entries: readonly string[]
   /** Events after which the caller closes the connection of its first request and resumes elsewhere. */
   readonly leavesAfter?: number
+  /** Whether the caller names the request that began a stream when it resumes it; default: true. */
+  readonly namesFirstRequest?: boolean
   /** Called with 1 when a response brings its first data, and with -1 when that response ends. */
   readonly onReceiving?: (change: 1 | -1) => void
 }
@@ -64,7 +66,7 @@
  * @param options - entries, names, and whether the caller breaks off
  * @returns the stream
  */
-export async function callStream ({ entries, host, key, leavesAfter, name, onReceiving }: CallerOptions): Promise<CallerStream> {
+export async function callStream ({ entries, host, key, leavesAfter, name, namesFirstRequest = true, onReceiving }: CallerOptions): Promise<CallerStream> {
   const deadlineAtMs = performance.now() + DEADLINE_MS
   const versions = new Set<string>()
   const eventIds: number[] = []
@@ -77,7 +79,7 @@
   let answeredTries = 0
   for (let tried = 0; answeredTries < MAX_ANSWERED_TRIES && !isComplete && performance.now() < deadlineAtMs; tried += 1) {
     requestId = `${name}/${tried}`
-    const resumes: Record<string, string> = firstRequestId === undefined ? {} : { 'last-event-id': String(eventIds.at(-1)), resumes: firstRequestId }
+    const resumes: Record<string, string> = firstRequestId === undefined ? {} : { 'last-event-id': String(eventIds.at(-1)), ...(namesFirstRequest && { resumes: firstRequestId }) }
     const attempt = await send(entries[tried % entries.length] as string, { host, 'x-request-id': requestId, 'x-deadline-ms': String(Math.round(deadlineAtMs - performance.now())), ...(key !== undefined && { 'x-api-key': key }), ...resumes }, tried === 0 ? leavesAfter : undefined, onReceiving)
     if (attempt.status !== 0) answeredTries += 1
     const events = [...attempt.text.matchAll(/^id: (\d+)\ndata: piece \d+ by (\S+)\n\n/gm)]
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
@@ -150,12 +150,25 @@
   assert.is(only(answerOrigin(simulation, '1', { type: 'unknown', silentHolders: 0 }), 'refuse').reason, 'origin_unknown')
 })
 
-test('a stream whose caller names no first request goes on where one version alone is known', () => {
+test('a stream whose caller names no first request goes on where one version alone has served for longer than a stream lasts', () => {
   const sole = createFleet([replicaOf('p1', 'prefill'), replicaOf('d1', 'decode')])
-  assert.is(only(resume(sole, '1', { lastEventId: '4' }), 'reserve').replicaId, 'd1')
+  watch(sole)
+  assert.ok(typesOf(resume(sole, '1', { lastEventId: '4' })).includes('refresh_replicas'))
+  sole.send({ type: 'config_proven', provenAtMs: sole.nowMs() })
+  sole.send({ type: 'replicas_current' })
+  assert.is(only(sole.send({ type: 'replicas_refreshed' }), 'reserve').replicaId, 'd1')
   assert.is(only(resume(createFleet(), '1', { lastEventId: '4' }), 'refuse').reason, 'origin_unknown')
 })
 
+// Guards against a stream that is joined from two versions. An entry that had just restarted knew one version alone, the
+// new one, and took it for the one that had begun the stream.
+test('a stream whose caller names no first request is refused by an entry that has just started', () => {
+  const restarted = createFleet([replicaOf('p1', 'prefill', { softwareVersion: 'v2' }), replicaOf('d2', 'decode', { softwareVersion: 'v2' })])
+  assert.is(only(resume(restarted, '1', { lastEventId: '4' }), 'refuse').reason, 'origin_unknown')
+  watch(restarted, WATCHED_MS / 4)
+  assert.is(only(resume(restarted, '2', { lastEventId: '4' }), 'refuse').reason, 'origin_unknown')
+})
+
 test('a resumed stream stays at the service that began it', () => {
   const services = [{ service: 'llm', weight: 1 }, { service: 'other', weight: 99 }]
   const config = configOf(1, [{ ...ROUTE, services }])
--- a/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { onlySoftware, soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
+import { soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
 import { findOrigin, recordOrigin } from '../streams/BendfallRouterStreamOrigins.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 import { startAllotment } from './BendfallRouterAllotment.js'
@@ -48,7 +48,8 @@
  */
 export function startOrigin (context: RouterContext, request: RequestState): NextStep {
   const { resumedRequestId } = request
-  if (resumedRequestId === undefined) return assumeOrigin(context, request)
+  // Nobody can be asked about a stream whose first request the caller doesn't name.
+  if (resumedRequestId === undefined) return inferOrigin(context, request)
   const known = findOrigin(context.state.origins, resumedRequestId)
   if (known !== undefined) return requireSoftware(context, request, known, 'own')
   request.phase = 'origin'
@@ -103,13 +104,6 @@
   return undefined
 }
 
-// Some callers do not name the request that began their stream, so that nobody can be asked. They are
-// served while this process has known one version only, however short the time.
-function assumeOrigin (context: RouterContext, request: RequestState): NextStep {
-  const sole = onlySoftware(context.state.softwareHistory, request.service, beginsAfterMs(request))
-  return sole === undefined ? refuseUnknownOrigin(request) : requireSoftware(context, request, sole, 'sole_version')
-}
-
 // The earliest begin of a stream whose caller still waits until the deadline.
 function beginsAfterMs ({ deadlineAtMs, route }: RequestState): number {
   return deadlineAtMs - Math.max(MIN_RESUMABLE_MS, RESUMABLE_TIMEOUT_FACTOR * route.timeoutMs)
--- a/packages/bendfall-router/src/streams/BendfallRouterSoftwareHistory.ts
+++ b/packages/bendfall-router/src/streams/BendfallRouterSoftwareHistory.ts
@@ -64,20 +64,8 @@
  * @param sinceMs - start of the time, up to now
  * @returns the software; undefined if there were several, or the time was not observed completely
  */
-export function soleSoftware (history: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
-  return history.completeSinceMs > sinceMs ? undefined : onlySoftware(history, service, sinceMs)
-}
-
-/**
- * Returns the only software of a service that this process has seen in a time, of which it may have
- * missed a part.
- *
- * @param history - observations of this process
- * @param service - name of the service
- * @param sinceMs - start of the time, up to now
- * @returns the software; undefined if there were several or none
- */
-export function onlySoftware ({ services }: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
+export function soleSoftware ({ completeSinceMs, services }: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
+  if (completeSinceMs > sinceMs) return undefined
   const recent = [...services.get(service) ?? []].filter(([, { lastSeenAtMs, replicas }]) => replicas > 0 || lastSeenAtMs >= sinceMs)
   return recent.length === 1 ? recent[0]?.[0] : undefined
 }
