Bound the memory and time of responses without end

Callers saw: an entry that ended with all requests on it, or streams without an end, when the store or a replica sent bytes without end in chunks of one byte.

Cause: each chunk of a buffered response was kept as a buffer of its own; an event of a stream had no limit and was scanned anew with each chunk; a call to the store was given up only after a time without data.

--- a/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { scheduleTimeout } from 'bendfall-node'
 import type { Clock, Teardown } from 'bendfall-node'
+import { createByteCollector } from 'bendfall-platform'
 import type { ConnectionPool } from './BendfallEdgeConnections.js'
 import { startReplicaCall } from './BendfallEdgeReplicaCall.js'
 import type { ReplicaCallRequest } from './BendfallEdgeReplicaCall.js'
@@ -28,7 +29,7 @@
   readonly clock: Clock
   /** Time after which the call is aborted. */
   readonly timeoutMs: number
-  /** Size limit of the response body; chunks that exceed it are discarded. */
+  /** Size limit of the response body; a larger one ends the call without an answer. */
   readonly maxBytes?: number
 }
 
@@ -43,8 +44,7 @@
  */
 export function startControlCall (pool: ConnectionPool, request: ReplicaCallRequest, options: ControlCallOptions, onOutcome: (outcome: ControlCallOutcome) => void): void {
   const { clock, maxBytes = DEFAULT_MAX_RESPONSE_BYTES, timeoutMs } = options
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const body = createByteCollector()
   let status = 0
   let headers: IncomingHttpHeaders = {}
   let isOver = false
@@ -56,10 +56,11 @@
       headers = responseHeaders
     },
     onChunk: (chunk) => {
-      bytes += chunk.length
-      if (bytes <= maxBytes) chunks.push(chunk)
+      if (body.length() + chunk.length <= maxBytes) return body.append(chunk)
+      call.abort()
+      finish({ type: 'unanswered', isSent: true })
     },
-    onEnd: () => finish({ type: 'answered', status, headers, body: Buffer.concat(chunks) }),
+    onEnd: () => finish({ type: 'answered', status, headers, body: body.take() }),
     onFail: (_, isSent) => finish({ type: 'unanswered', isSent })
   })
   if (isOver) return
--- a/packages/bendfall-edge/src/replica/BendfallEdgeEventSplitter.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeEventSplitter.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import { createByteCollector } from 'bendfall-platform'
+
 /** Complete events of a chunk and the position in the stream. */
 export interface CompleteEvents {
   readonly bytes: Buffer
@@ -35,37 +37,56 @@
  * @returns the splitter
  */
 export function createEventSplitter (): EventSplitter {
-  let remainder: Buffer = Buffer.alloc(0)
+  const pending = createByteCollector()
+  const scan: ScanPosition = { at: 0, lineStart: 0 }
   let lastEventId: string | undefined
   let count = 0
 
   function push (chunk: Buffer): CompleteEvents {
-    const text = remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk])
+    pending.append(chunk)
+    const text = pending.peek()
     let end = 0
-    for (let at = findEventEnd(text, 0); at > 0; at = findEventEnd(text, end)) {
+    for (let at = findEventEnd(text, 0, scan); at > 0; at = findEventEnd(text, end, scan)) {
       lastEventId = readEventId(text.subarray(end, at)) ?? lastEventId
       count += 1
       end = at
     }
-    remainder = Buffer.from(text.subarray(end))
+    if (end > 0) {
+      pending.append(pending.take().subarray(end))
+      scan.at -= end
+      scan.lineStart -= end
+    }
     return { bytes: text.subarray(0, end), lastEventId, count }
   }
 
-  return { push, tail: () => remainder, isWithinEvent: () => hasText(remainder) }
+  return { push, tail: pending.peek, isWithinEvent: () => hasText(pending.peek()) }
+}
+
+/** Where the next scan begins, so that an event in many chunks is scanned once. */
+interface ScanPosition {
+  at: number
+  /** Start of the line at this position. */
+  lineStart: number
 }
 
 // Returns the end of the next event, or -1. An event ends with an empty line, and lines end with LF,
 // CR LF or CR. A CR at the end of the chunk waits for an LF only if earlier lines ended with CR LF.
-function findEventEnd (text: Buffer, from: number): number {
-  let lineStart = from
-  for (let at = from; at < text.length; at++) {
+function findEventEnd (text: Buffer, from: number, scan: ScanPosition): number {
+  let { at, lineStart } = scan
+  for (; at < text.length; at++) {
     if (!isLineBreak(text[at])) continue
     const isEmptyLine = at === lineStart
-    if (at + 1 === text.length && text[at] === CARRIAGE_RETURN && text.subarray(from, at).includes(CR_LF)) return -1
-    if (text[at] === CARRIAGE_RETURN && text[at + 1] === LINE_FEED) at += 1
-    lineStart = at + 1
-    if (isEmptyLine && at > from && hasText(text.subarray(from, at))) return lineStart
+    const isLastCarriageReturn = at + 1 === text.length && text[at] === CARRIAGE_RETURN
+    if (isLastCarriageReturn && (!isEmptyLine || text.subarray(from, at).includes(CR_LF))) break
+    const lineEnd = text[at] === CARRIAGE_RETURN && text[at + 1] === LINE_FEED ? at + 1 : at
+    if (isEmptyLine && lineEnd > from && hasText(text.subarray(from, at))) {
+      Object.assign(scan, { at: lineEnd + 1, lineStart: lineEnd + 1 })
+      return lineEnd + 1
+    }
+    at = lineEnd
+    lineStart = lineEnd + 1
   }
+  Object.assign(scan, { at, lineStart })
   return -1
 }
 
--- a/packages/bendfall-edge/src/replica/BendfallEdgePrefillListener.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgePrefillListener.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createByteCollector } from 'bendfall-platform'
 import type { PrefillOutcome } from 'bendfall-router'
 import type { ResponseHead, ReplicaDialect } from '../BendfallEdgeDialect.js'
 import { failureOf } from './BendfallEdgeCallFailure.js'
@@ -19,8 +20,7 @@
  * @returns the listener
  */
 export function createPrefillListener (dialect: ReplicaDialect, onResult: (outcome: PrefillOutcome) => void): IdentifiedListener {
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const body = createByteCollector()
   let status = 0
   let head: ResponseHead | undefined
   return {
@@ -29,12 +29,11 @@
       head = responseHead
     },
     onChunk: (chunk) => {
-      bytes += chunk.length
-      if (bytes <= MAX_PREFILL_RESPONSE_BYTES) chunks.push(chunk)
+      if (body.length() + chunk.length <= MAX_PREFILL_RESPONSE_BYTES) body.append(chunk)
     },
     onEnd: () => {
       if (status === 200) {
-        const handle = dialect.readPrefillResult(Buffer.concat(chunks))
+        const handle = dialect.readPrefillResult(body.take())
         onResult(handle.isOk() ? { type: 'read', handle: handle.value } : { type: 'failed', failure: 'unknown' })
       } else {
         onResult({ type: 'failed', failure: head?.isWrongReplica === true ? 'wrong_replica' : head?.isNotRun === true ? 'not_run' : 'unknown' })
--- a/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { UpdateLoop } from 'bendfall-node'
+import { createByteCollector } from 'bendfall-platform'
 import type { ResponseFraming } from 'bendfall-platform'
 import type { ProcessCheck, RouterEffect, RouterEffectOf, RouterEvent, SendFailure } from 'bendfall-router'
 import type { ResponseHead } from '../BendfallEdgeDialect.js'
@@ -17,6 +18,9 @@
 /** Responses up to this size are buffered before they are sent to the caller, so that a failed one can be retried. */
 const MAX_BUFFERED_RESPONSE_BYTES = 262_144
 
+/** Size limit of an event, of which nothing is forwarded before it is complete. */
+const MAX_EVENT_BYTES = 262_144
+
 /** Response with neither a length nor chunked coding. */
 export interface CloseDelimitedResponse {
   readonly requestId: string
@@ -69,8 +73,7 @@
 
 class RunListener {
   private readonly splitter = createEventSplitter()
-  private readonly chunks: Buffer[] = []
-  private bufferedBytes = 0
+  private readonly held = createByteCollector()
   private bodyBytes = 0
   private status = 0
   private headers: IncomingHttpHeaders = {}
@@ -85,7 +88,7 @@
 
   buffer (): ReplicaBuffer {
     const isPassedOn = this.isRelaying || this.hasResponseStarted()
-    return { heldBytes: isPassedOn ? 0 : this.bufferedBytes, readAheadBytes: this.isOver ? 0 : this.options.send()?.call.unreadBytes?.() ?? 0 }
+    return { heldBytes: (isPassedOn ? 0 : this.held.length()) + this.splitter.tail().length, readAheadBytes: this.isOver ? 0 : this.options.send()?.call.unreadBytes?.() ?? 0 }
   }
 
   handleHead (status: number, headers: IncomingHttpHeaders, head: ResponseHead): void {
@@ -134,9 +137,9 @@
     const send = this.options.send()
     send?.cancelTimeout()
     // A run that resumes an interrupted response may have nothing left to send.
-    if (!this.hasResponseStarted() && send !== undefined) send.held = { status: this.status, headers: this.headers, body: Buffer.concat(this.chunks) }
+    if (!this.hasResponseStarted() && send !== undefined) send.held = { status: this.status, headers: this.headers, body: this.held.take() }
     // The listener lives as long as the exchange, which a slow caller keeps open.
-    this.chunks.length = 0
+    this.held.take()
     const { attempt, key } = this.effect
     this.options.loop.dispatch({ type: 'answer_complete', key, attempt, status: this.status, outputEvents: this.outputEvents, longestGapMs: Math.round(this.longestGapMs), isCloseDelimited: framing === 'connection' })
   }
@@ -145,8 +148,7 @@
     if (this.isOver) return
     this.isOver = true
     // The listener lives as long as the exchange, which may wait for another replica.
-    this.chunks.length = 0
-    this.bufferedBytes = 0
+    this.held.take()
     const send = this.options.send()
     send?.cancelTimeout()
     send?.call.abort()
@@ -180,6 +182,7 @@
 
   private relayEvents (chunk: Buffer): void {
     const events = this.splitter.push(chunk)
+    if (this.splitter.tail().length > MAX_EVENT_BYTES) return this.failOversized()
     this.lastEventId = events.lastEventId ?? this.lastEventId
     this.outputEvents = events.count
     const nowMs = this.options.loop.clock.nowMs()
@@ -189,11 +192,8 @@
   }
 
   private hold (chunk: Buffer): void {
-    this.chunks.push(chunk)
-    this.bufferedBytes += chunk.length
-    if (this.bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES) return
-    this.relay(Buffer.concat(this.chunks))
-    this.chunks.length = 0
+    this.held.append(chunk)
+    if (this.held.length() > MAX_BUFFERED_RESPONSE_BYTES) this.relay(this.held.take())
   }
 
   // Returns whether a close-delimited event stream was truncated: within an event, or before the first
@@ -203,6 +203,11 @@
     return this.splitter.isWithinEvent() || (this.outputEvents === 0 && this.effect.lastEventId === undefined)
   }
 
+  private failOversized (): void {
+    this.options.onInvalidResponse(this.exchange.caller.requestId, `event without an end within ${MAX_EVENT_BYTES} bytes`)
+    this.fail('unknown')
+  }
+
   private failTruncated (): void {
     this.options.onInvalidResponse(this.exchange.caller.requestId, `stream broken off ${this.splitter.tail().length} bytes behind its last whole event`)
     this.fail('connection_lost')
--- a/packages/bendfall-platform/src/BendfallPlatformHttp.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttp.ts
@@ -53,6 +53,8 @@
    * chunks. A connection that is being opened is still waited for, up to `connectTimeoutMs`.
    */
   readonly timeoutMs: number
+  /** Longest time up to the end of the response, so that one that arrives slowly without end isn't waited for; omitted: not limited. */
+  readonly totalTimeoutMs?: number
   readonly signal?: AbortSignal
   /** Uses a new connection, so that the call cannot fail because of a stale one. */
   readonly freshConnection?: boolean
@@ -215,12 +217,15 @@
   const onAbort = (): void => stop('aborted', 'aborted by the caller')
   const onTimeout = (): void => stop('timeout', `no answer within ${request.timeoutMs} ms`)
   const timer = setTimeout(onTimeout, request.timeoutMs)
+  const onTotalTimeout = (): void => stop('timeout', `no complete answer within ${request.totalTimeoutMs} ms`)
+  const totalTimer = request.totalTimeoutMs === undefined ? undefined : setTimeout(onTotalTimeout, request.totalTimeoutMs)
   const attempt: Attempt = {
     state: { started: false },
     kind: 'broken',
     restartTimeout: () => { timer.refresh() },
     end: () => {
       clearTimeout(timer)
+      clearTimeout(totalTimer)
       request.signal?.removeEventListener('abort', onAbort)
     }
   }
--- a/packages/bendfall-platform/src/BendfallPlatformHttpReaders.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttpReaders.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createByteCollector } from './BendfallPlatformByteCollector.js'
 import type { HttpResponse } from './BendfallPlatformHttp.js'
 
 const NEWLINE_BYTE = 10
@@ -26,20 +27,18 @@
  * @returns the reader
  */
 export function createResponseReader (maxBodyBytes: number): ResponseReader<HttpResponse> {
-  const chunks: Buffer[] = []
+  const body = createByteCollector()
   const sizeLimit = createSizeLimit(maxBodyBytes)
-  let bodyBytes = 0
   let head: Omit<HttpResponse, 'body'> = { status: 0, contentType: '', contentEncoding: '', etag: '', getHeader: () => '' }
   return {
     onHead: (status, getHeader) => {
       head = { status, contentType: getHeader('content-type'), contentEncoding: getHeader('content-encoding'), etag: getHeader('etag'), getHeader }
     },
     onChunk: (chunk) => {
-      bodyBytes += chunk.length
-      sizeLimit.check(bodyBytes)
-      chunks.push(chunk)
+      sizeLimit.check(body.length() + chunk.length)
+      body.append(chunk)
     },
-    end: () => ({ ...head, body: Buffer.concat(chunks) }),
+    end: () => ({ ...head, body: body.take() }),
     isTooLarge: sizeLimit.isExceeded
   }
 }
--- a/packages/bendfall-platform/src/index.ts
+++ b/packages/bendfall-platform/src/index.ts
@@ -5,6 +5,8 @@
  */
 export { isArrayOf, isBoolean, isNumber, isObjectOf, isString, parseResponse } from './BendfallPlatformResponse.js'
 export type { FieldCheck, Shape, ShapesByType } from './BendfallPlatformResponse.js'
+export { createByteCollector } from './BendfallPlatformByteCollector.js'
+export type { ByteCollector } from './BendfallPlatformByteCollector.js'
 export { createHttpExchanger } from './BendfallPlatformHttp.js'
 export type { HttpExchanger, HttpFailure, HttpOptions, HttpRequest, HttpResponse } from './BendfallPlatformHttp.js'
 export { connectionEndOf, framingOf } from './BendfallPlatformHttpFraming.js'
