Free what a connection holds for its requests without a listener for each

Cause: the account of request memory added a listener for each body to its connection, which grows on one that is kept open, and a body that was read ahead went on being buffered after its request had been refused. After a pause of the event loop bodies counted as stalled whose bytes had arrived unread.

Change: one listener for each connection; a refusal discards what is read ahead; no body is given up while the event loop is late.

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeRequestMemory.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeRequestMemory.test.ts
@@ -117,4 +117,19 @@
   assert.is(reservedBytes(), 0)
 }))
 
+test('requests on a connection that is kept open leave neither listeners nor reservations', () => withServer(async ({ reservedBytes, send }) => {
+  const warnings: Error[] = []
+  const onWarning = (warning: Error): void => { warnings.push(warning) }
+  process.on('warning', onWarning)
+  const { socket } = send('Content-Length: 1', 'x')
+  for (let count = 0; count < 20; count++) {
+    await sleep(SETTLE_MS / 5)
+    socket.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx')
+  }
+  await sleep(SETTLE_MS)
+  process.removeListener('warning', onWarning)
+  assert.equal(warnings, [])
+  assert.is(reservedBytes(), 0)
+}))
+
 test.run()
--- a/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeServer.ts
@@ -84,16 +84,17 @@
   const pipeline = registerRequestPipeline(server)
   const memory = options.memory ?? createRequestMemory(Infinity)
   const readers = new Set<OpenReader>()
-  const reservations = new WeakMap<object, Set<Reservation>>()
+  // What is held for the requests of each connection. The responses to queued requests emit no `close` if their
+  // connection ends, and a listener for each of them would be added to a connection that is kept open.
+  const teardowns = new WeakMap<object, Set<() => void>>()
   if (options.observeRead !== undefined) server.on('connection', options.observeRead)
   // Their first request and a close behind it may have arrived together, but are read in two turns of the event loop.
   const lateConnections = new WeakSet<object>()
   server.on('connection', (socket) => {
     if (options.isAcceptLate?.() === true) lateConnections.add(socket)
-    // The responses to queued requests emit no `close` if their connection ends.
-    const held = new Set<Reservation>()
-    reservations.set(socket, held)
-    socket.once('close', () => { for (const reservation of held) reservation.release() })
+    const pending = new Set<() => void>()
+    teardowns.set(socket, pending)
+    socket.once('close', () => { for (const teardown of pending) teardown() })
   })
   server.on('request', (request, response) => {
     const arrivedMs = performance.now() - (options.observeRead?.() ?? 0)
@@ -105,19 +106,23 @@
     const mayHideClose = lateConnections.delete(request.socket) || !isNext
     const started = { request, response, hasNext: () => pipeline.hasNext(request), mayHideClose, arrivedMs, reservation: reserve(request, response) }
     const readAhead = isNext ? readBody(started) : undefined
-    pipeline.enqueue(request, response, () => handleRequest(options, { ...started, readBody: () => readAhead ?? readBody(started) }))
+    pipeline.enqueue(request, response, () => handleRequest(options, { ...started, readAhead, readBody: () => readAhead ?? readBody(started) }))
   })
 
   function reserve (request: IncomingMessage, response: ServerResponse): Reservation | undefined {
     const reservation = memory.reserve(headBytes(request) + REQUEST_OVERHEAD_BYTES)
-    if (reservation === undefined) return undefined
-    const held = reservations.get(request.socket)
-    held?.add(reservation)
+    if (reservation !== undefined) onRequestEnd(request, response, reservation.release)
+    return reservation
+  }
+
+  // Calls back when the response has been sent or the connection ends.
+  function onRequestEnd ({ socket }: IncomingMessage, response: ServerResponse, teardown: () => void): void {
+    const pending = teardowns.get(socket)
+    pending?.add(teardown)
     response.once('close', () => {
-      held?.delete(reservation)
-      reservation.release()
+      pending?.delete(teardown)
+      teardown()
     })
-    return reservation
   }
 
   function readBody ({ arrivedMs, request, reservation, response }: ArrivedRequest): OpenReader | undefined {
@@ -127,13 +132,14 @@
     if (body === undefined) return undefined
     const reader: OpenReader = { body, deadlineAtMs: arrivedMs + BODY_TIMEOUT_MS, isRefused: false, onRefused: () => {} }
     readers.add(reader)
-    response.once('close', () => readers.delete(reader))
-    request.socket.once('close', () => readers.delete(reader))
+    onRequestEnd(request, response, () => readers.delete(reader))
     return reader
   }
 
-  // Bodies that are stalled, or won't be complete before their callers give up, make room for others.
+  // Bodies that are stalled, or won't be complete before their callers give up, make room for others. While
+  // the event loop is late, their bytes may have arrived unread.
   function refuseStalled (): void {
+    if (options.isAcceptLate?.() === true) return
     const nowMs = performance.now()
     for (const reader of [...readers]) {
       if (!reader.body.isStalled(nowMs, reader.deadlineAtMs)) continue
@@ -174,11 +180,13 @@
 
 /** A request that has reached the head of its connection's queue. */
 interface StartedRequest extends ArrivedRequest {
-  /** Returns the reader of the body, which may have begun while the request was queued; undefined if there is no memory. */
+  /** Reader of the body, if it began while the request was queued. */
+  readonly readAhead?: OpenReader
+  /** Returns that reader or begins to read the body; undefined if there is no memory. */
   readonly readBody: () => OpenReader | undefined
 }
 
-function handleRequest (options: CallerServerOptions, { arrivedMs, hasNext, mayHideClose, readBody, request, reservation, response }: StartedRequest): void {
+function handleRequest (options: CallerServerOptions, { arrivedMs, hasNext, mayHideClose, readAhead, readBody, request, reservation, response }: StartedRequest): void {
   const reject = (status: number, message: string, requestId?: string): void => {
     options.onRejected(status, message, requestId)
     refuse(response, status, message, true, requestId)
@@ -186,6 +194,7 @@
   // Frees the memory at once. The connection stays open until the rest of the body has been read and
   // discarded: unread bytes would reset it before the caller has read the refusal.
   const refuseForMemory = (retryAfterMs: number, requestId?: string): void => {
+    readAhead?.body.discard()
     reservation?.release()
     request.resume()
     options.onRejected(SERVICE_UNAVAILABLE, 'memory low', requestId)
