--- a/packages/bendfall-edge/src/caller/BendfallEdgeMemoryGuard.ts
+++ b/packages/bendfall-edge/src/caller/BendfallEdgeMemoryGuard.ts
@@ -48,7 +48,7 @@
   const { metrics, open } = options
   const bounds = options.memoryMb === undefined ? undefined : memoryBoundsOf(options.memoryMb)
   const requests = createRequestMemory(bounds?.bufferBytes ?? Infinity)
-  metrics.gauge('bendfall_buffered_bytes', () => open.list().reduce((sum, exchange) => sum + exchange.unreadBytes() + otherBytesOf(exchange), incompleteBytesOf(requests, open)))
+  metrics.gauge('bendfall_buffered_bytes', () => open.list().reduce((sum, exchange) => sum + exchange.unreadBytes() + otherBytesOf(exchange), 0))
   metrics.gauge('bendfall_request_bytes', requests.reservedBytes)
   if (bounds === undefined) return { refuseNew: () => undefined, requests, close: () => {} }
   return startGuard(options, bounds, requests)
