Let sends to a restarted replica go on when it registers

Cause: a send counted as one to the registered process, also after that one had ended, so that the later registration failed it, and its stream was bound to the former version.

Change: after a refused connection a pool uses no older one, so that later sends are at the successor and go on when it registers. Its software is unknown until then: its streams go on nowhere else, origins say so, resumed streams aren't sent there. Without a refused connection, open streams at a process that registers another version go on as well. The check of a replica is a method of its connection pool, so that each refused connection is seen.

--- a/packages/bendfall-edge/src/BendfallEdgeEntry.ts
+++ b/packages/bendfall-edge/src/BendfallEdgeEntry.ts
@@ -9,7 +9,7 @@
 import type { Clock, Logger, Teardown, UpdateLoop } from 'bendfall-node'
 import { createSuspensionWatch, createSystemClock, createTeardownStack, createUpdateLoop, listen, listenForPeers } from 'bendfall-node'
 import type { KeyValuePort } from 'bendfall-platform'
-import { ALLOTMENT_ROLES, createRouterState, credentialsOf, hasLimit, isLeaving, areKeysFresh, reduceRouter, TICK_MS } from 'bendfall-router'
+import { ALLOTMENT_ROLES, createRouterState, credentialsOf, hasLimit, isExiting, areKeysFresh, reduceRouter, TICK_MS } from 'bendfall-router'
 import type { Customer, PoolIntent, RouterEffect, RouterEvent, RouterState } from 'bendfall-router'
 import type { Dialect } from './BendfallEdgeDialect.js'
 import type { EdgeSettings } from './BendfallEdgeSettings.js'
@@ -37,7 +37,7 @@
 import { registerOrigins } from './origins/BendfallEdgeOrigins.js'
 import { registerPools } from './pools/BendfallEdgePools.js'
 import { registerHolds } from './replica/BendfallEdgeHolds.js'
-import { checkReplica, registerReplicaChecks } from './replica/BendfallEdgeReplicaChecks.js'
+import { registerReplicaChecks } from './replica/BendfallEdgeReplicaChecks.js'
 import { createReplicaPools } from './replica/BendfallEdgeReplicaPools.js'
 import { registerSends } from './replica/BendfallEdgeSends.js'
 
@@ -99,8 +99,7 @@
   const loop = createUpdateLoop<RouterEvent, RouterEffect>((event) => reduceRouter(state, { ...event, suspendedMs: readSuspendedMs(), unixMs: Date.now() }), clock)
   const exchanges = new Map<string, Exchange>()
   const open = createOpenExchanges()
-  const onConnect = (): void => metrics.count('bendfall_connections_opened_total')
-  const pools = createReplicaPools(onConnect, (address) => loop.dispatch({ type: 'connection_refused', address }))
+  const pools = createReplicaPools(() => metrics.count('bendfall_connections_opened_total'), (address) => loop.dispatch({ type: 'connection_refused', address }))
   const loopDelay = createLoopDelay({ nowMs: clock.nowMs, idleMs: () => performance.nodeTiming.idleTime, callAfterPoll: setImmediate })
   const gate = state.decisions.closedCallers === 'ignored' ? OPEN_GATE : registerSendGate({ loop, exchanges, loopDelay, logger, metrics })
   const memory = registerMemoryGuard({ memoryMb: memoryMbOf(settings), open, clock, logger, metrics, readProcessBytes: options.readProcessBytes ?? process.memoryUsage.rss })
@@ -135,11 +134,7 @@
     exchanges,
     poolOf: pools.get,
     hasLimit: (replicaId) => hasLimit(state, replicaId),
-    isExiting: (replicaId) => {
-      const view = state.replicas.get(replicaId)
-      return view === undefined || isLeaving(state, view)
-    },
-    checkReplica: (address, onOutcome) => checkReplica(address, onConnect, onOutcome),
+    isExiting: (replicaId) => isExiting(state, replicaId),
     gate,
     onInvalidResponse: (requestId, detail) => {
       metrics.count('bendfall_answers_garbled_total')
@@ -151,7 +146,7 @@
     }
   }))
   teardowns.push(registerHolds({ loop, dialect: dialect.replica, poolOf: pools.get, hasLimit: (replicaId) => hasLimit(state, replicaId), gate }))
-  teardowns.push(registerReplicaChecks({ loop, onConnect }))
+  teardowns.push(registerReplicaChecks({ loop, poolOf: pools.get }))
   teardowns.push(registerCrashReports({ loop, port: keyValue, logger, instanceId: settings.instanceId, rememberedMs: state.crashes.limits.rememberedMs }))
   registerResponses(loop, exchanges)
   teardowns.push(registerTicks(loop, loopDelay))
--- a/packages/bendfall-edge/src/__tests__/unit/ReplicaHarness.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/ReplicaHarness.ts
@@ -56,7 +56,7 @@
     return pending.splice(0)
   }, createSystemClock())
   const teardowns: Teardown[] = [
-    registerSends({ loop, dialect: SCRIPTED_DIALECT, exchanges, poolOf: pools.get, hasLimit: () => false, isExiting: () => false, checkReplica: (_, onOutcome) => onOutcome('alive'), gate, onInvalidResponse: (_, detail) => invalidResponses.push(detail), onCloseDelimitedResponse: () => {} }),
+    registerSends({ loop, dialect: SCRIPTED_DIALECT, exchanges, poolOf: pools.get, hasLimit: () => false, isExiting: () => false, gate, onInvalidResponse: (_, detail) => invalidResponses.push(detail), onCloseDelimitedResponse: () => {} }),
     registerHolds({ loop, dialect: SCRIPTED_DIALECT, poolOf: pools.get, hasLimit: () => false, gate })
   ]
 
--- a/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeConnections.ts
@@ -1,11 +1,13 @@
 /**
  * Connection pool of one replica. A connection carries one request at a time, and the most recently
  * used one is reused first, so that few stay open. A connection on which unsolicited data has
- * arrived is not reused.
+ * arrived is not reused, nor is one that is older than a refused connection: it leads to a process
+ * that has ended or stopped listening.
  *
  * @module
  */
 import type { ConnectionEnd } from 'bendfall-platform'
+import type { ProcessCheck } from 'bendfall-router'
 import { Client } from 'undici'
 import { connectReplica, isConnectionRefused } from './BendfallEdgeReplicaSocket.js'
 import type { ConnectCallback, ReplicaSocket } from './BendfallEdgeReplicaSocket.js'
@@ -45,6 +47,8 @@
   readonly resetStartLine: () => void
   /** @returns the received part of the start line of the response */
   readonly startLine: () => string
+  /** Returns whether no connection has been refused since this one was opened. */
+  readonly isCurrent: () => boolean
 }
 
 /** A connection that is available for the next request. */
@@ -64,6 +68,8 @@
   readonly acquire: (requestId?: string) => Connection
   /** Returns a connection to the pool after its response. */
   readonly release: (connection: Connection) => void
+  /** Opens a connection to see whether a process accepts it, and calls back once with the outcome. */
+  readonly check: (onOutcome: (outcome: ProcessCheck) => void) => void
   /** Closes all idle connections. */
   readonly closeIdle: () => void
   /** Closes all connections. */
@@ -81,10 +87,18 @@
 export function createConnectionPool (address: string, onConnect: () => void, onRefused: () => void = () => {}): ConnectionPool {
   const idle: IdleConnection[] = []
   const allClients = new Set<Client>()
+  let refusals = 0
+
+  function handleRefused (): void {
+    refusals += 1
+    closeIdle()
+    onRefused()
+  }
 
   function openConnection (requestIds?: Set<string>): Connection {
     let socket: ReplicaSocket | undefined
     let end: ConnectionEnd | undefined
+    let refusalsBefore = refusals
     let notifyBeforeEnd = (): void => {}
     const onEnd = (connectionEnd: ConnectionEnd): void => {
       end = connectionEnd
@@ -93,11 +107,12 @@
     const client = new Client(`http://${address}`, {
       connect: ({ hostname, port }, callback) => {
         end = undefined
-        connectReplica({ host: hostname, port: Number(port === '' ? DEFAULT_HTTP_PORT : port), onEnd }, (...result) => {
+        connectReplica({ host: hostname, port: portOf(port), onEnd }, (...result) => {
           if (result[0] === null) {
             socket = result[1]
+            refusalsBefore = refusals
             onConnect()
-          } else if (isConnectionRefused(result[0])) onRefused()
+          } else if (isConnectionRefused(result[0])) handleRefused()
           ;(callback as ConnectCallback)(...result)
         })
       },
@@ -109,7 +124,7 @@
       maxHeaderSize: MAX_HEAD_BYTES
     })
     allClients.add(client)
-    return { client, end: () => end, onBeforeEnd: (listener) => { notifyBeforeEnd = listener }, requestIds, bytesRead: () => socket?.bytesRead ?? 0, unreadBytes: () => socket?.readableLength ?? 0, resetStartLine: () => socket?.resetStartLine(), startLine: () => socket?.startLine() ?? '' }
+    return { client, end: () => end, onBeforeEnd: (listener) => { notifyBeforeEnd = listener }, requestIds, bytesRead: () => socket?.bytesRead ?? 0, unreadBytes: () => socket?.readableLength ?? 0, resetStartLine: () => socket?.resetStartLine(), startLine: () => socket?.startLine() ?? '', isCurrent: () => refusalsBefore === refusals }
   }
 
   function acquireIdle (requestId: string): Connection | undefined {
@@ -131,8 +146,8 @@
     return connection
   }
 
-  function isReusable ({ client, requestIds }: Connection): boolean {
-    return requestIds !== undefined && requestIds.size < MAX_REQUESTS_PER_CONNECTION && !client.destroyed && client.stats.connected
+  function isReusable ({ client, isCurrent, requestIds }: Connection): boolean {
+    return isCurrent() && requestIds !== undefined && requestIds.size < MAX_REQUESTS_PER_CONNECTION && !client.destroyed && client.stats.connected
   }
 
   function discard ({ client }: Connection): void {
@@ -140,13 +155,28 @@
     client.destroy().catch(ignoreError)
   }
 
+  function closeIdle (): void {
+    for (const { connection } of idle.splice(0)) discard(connection)
+  }
+
+  function check (onOutcome: (outcome: ProcessCheck) => void): void {
+    const { hostname, port } = new URL(`http://${address}`)
+    connectReplica({ host: hostname, port: portOf(port), onEnd: () => {} }, (...[error, socket]) => {
+      socket?.destroy()
+      if (error === null) onConnect()
+      else if (isConnectionRefused(error)) handleRefused()
+      onOutcome(error === null ? 'alive' : outcomeOf(error))
+    })
+  }
+
   return {
     acquire,
+    check,
     release: (connection) => {
       if (isReusable(connection)) idle.push({ connection, bytesRead: connection.bytesRead() })
       else discard(connection)
     },
-    closeIdle: () => { for (const { connection } of idle.splice(0)) discard(connection) },
+    closeIdle,
     destroy: () => {
       for (const client of allClients) client.destroy().catch(ignoreError)
       allClients.clear()
@@ -155,6 +185,14 @@
   }
 }
 
+function outcomeOf (error: NodeJS.ErrnoException): ProcessCheck {
+  return isConnectionRefused(error) ? 'ended' : 'unanswered'
+}
+
+function portOf (port: string): number {
+  return Number(port === '' ? DEFAULT_HTTP_PORT : port)
+}
+
 // A destroyed client rejects because of the destruction itself; its request, if any, has already been
 // notified.
 function ignoreError (): void {}
--- a/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
@@ -38,8 +38,8 @@
   readonly onCloseDelimitedResponse: (response: CloseDelimitedResponse) => void
   /** @returns whether the replica is expected to exit once it has responded */
   readonly isExiting: (replicaId: string) => boolean
-  /** Checks whether a process accepts connections at an address. */
-  readonly checkReplica: (address: string, onOutcome: (outcome: ProcessCheck) => void) => void
+  /** Checks whether a process accepts connections at the replica's address. */
+  readonly checkReplica: (onOutcome: (outcome: ProcessCheck) => void) => void
   /** Returns the current send; undefined once it has been aborted. */
   readonly send: () => RunSend | undefined
 }
@@ -118,9 +118,8 @@
   // would then present a truncated response as complete, unless the process is seen to have survived it.
   private verifyEnd (): void {
     const send = this.options.send()
-    const { address, replicaId } = this.effect
-    if (this.options.isExiting(replicaId)) return this.complete('connection')
-    this.options.checkReplica(address, (outcome) => {
+    if (this.options.isExiting(this.effect.replicaId)) return this.complete('connection')
+    this.options.checkReplica((outcome) => {
       // The send may have been aborted or failed in the meantime.
       if (this.isOver || this.options.send() !== send) return
       if (outcome === 'alive') return this.complete('connection')
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -22,7 +22,7 @@
 import type { RunOptions, RunSend } from './BendfallEdgeRunListener.js'
 
 /** Dependencies of the effects. */
-export interface SendOptions extends Omit<RunOptions, 'send'> {
+export interface SendOptions extends Omit<RunOptions, 'checkReplica' | 'send'> {
   readonly dialect: ReplicaDialect
   readonly exchanges: ReadonlyMap<string, Exchange>
   /** Returns the connection pool of the replica at an address. */
@@ -94,7 +94,7 @@
   function sendRun (effect: RouterEffectOf<'send_run'>): void {
     const exchange = exchanges.get(effect.key)
     if (exchange === undefined) return
-    start(effect, (deadlineMs) => dialect.runHeaders({ ...effect, deadlineMs }), createRunListener({ ...options, send: () => sends.get(effect.key) }, effect, exchange))
+    start(effect, (deadlineMs) => dialect.runHeaders({ ...effect, deadlineMs }), createRunListener({ ...options, checkReplica: poolOf(effect.address).check, send: () => sends.get(effect.key) }, effect, exchange))
   }
 
   function sendPrefill (effect: RouterEffectOf<'send_prefill'>): void {
--- a/packages/bendfall-router/src/entry/BendfallRouterContext.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterContext.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { drawUnit } from 'bendfall-core'
+import { softwareOf } from './BendfallRouterAnsweringProcess.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaView, RouterState } from './BendfallRouterState.js'
 import type { DecisionInputs, EndReason, RouterEffect } from './BendfallRouterEffects.js'
@@ -105,8 +106,8 @@
   request.runs += 1
   request.sends += 1
   request.runReplicaId = replicaId
-  request.sentTo = { replicaId, startedAtMs }
-  request.sentSoftware = view.software
+  request.sentTo = { replicaId, startedAtMs, sentAtMs: nowMs }
+  request.sentSoftware = softwareOf(view)
   request.runSentAtMs = nowMs
   request.answerStartedAtMs = undefined
   view.inFlight += 1
--- a/packages/bendfall-router/src/entry/BendfallRouterEligibility.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEligibility.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ReplicaStage } from '../BendfallRouterTypes.js'
+import { softwareOf } from './BendfallRouterAnsweringProcess.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import type { ReplicaView, RouterState } from './BendfallRouterState.js'
 
@@ -12,10 +13,10 @@
  *
  * @param request - request to run
  * @param view - replica that its memory was booked at
- * @returns false if the replica runs another software than the one that began the stream
+ * @returns false if the replica may run another software than the one that began the stream
  */
-export function canRunOn ({ requiredSoftware }: RequestState, { software }: ReplicaView): boolean {
-  return requiredSoftware === undefined || requiredSoftware === software
+export function canRunOn ({ requiredSoftware }: Pick<RequestState, 'requiredSoftware'>, view: ReplicaView): boolean {
+  return requiredSoftware === undefined || requiredSoftware === softwareOf(view)
 }
 
 /**
@@ -29,8 +30,9 @@
  */
 export function eligibleReplicas (state: RouterState, { requiredSoftware, service, spares }: RequestState, stage: ReplicaStage): readonly ReplicaView[] {
   const isBound = requiredSoftware !== undefined && stage !== 'prefill'
-  const used = (isBound ? state.usedBySoftware.get(requiredSoftware) : state.usedByService.get(service)) ?? []
-  return isBound || spares.size === 0 ? used : [...used, ...listSpares(state, spares)]
+  if (isBound) return (state.usedBySoftware.get(requiredSoftware) ?? []).filter((view) => canRunOn({ requiredSoftware }, view))
+  const used = state.usedByService.get(service) ?? []
+  return spares.size === 0 ? used : [...used, ...listSpares(state, spares)]
 }
 
 function listSpares ({ replicas, subset }: RouterState, spares: ReadonlySet<string>): ReplicaView[] {
--- a/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
@@ -1,17 +1,18 @@
 /**
- * Binds each stream to the software that began it. What two software versions write does not fit
- * together, and replicas do not check this, so that a stream continues only at replicas that run the
- * software of its first event: on a retry within this process, and when its caller resumes it here.
+ * Finds the software that began a stream which a caller resumes. What two software versions write does not
+ * fit together, and replicas do not check this, so that a stream continues only at replicas that run the
+ * software of its first event.
  *
  * @module
  */
 import { soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
-import { findOrigin, recordOrigin } from '../streams/BendfallRouterStreamOrigins.js'
+import { findOrigin, UNKNOWN_SOFTWARE } from '../streams/BendfallRouterStreamOrigins.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 import { startAllotment } from './BendfallRouterAllotment.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
 import type { OriginOutcome } from './BendfallRouterEvents.js'
+import { canRunOn } from './BendfallRouterEligibility.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import { stageOf } from './BendfallRouterReplicaHealth.js'
 import type { RouterState } from './BendfallRouterState.js'
@@ -19,7 +20,7 @@
 /** `Retry-After` while a process that may know the origin does not answer. */
 const HOLDER_RETRY_MS = 200
 
-/** `Retry-After` while all replicas with the software only prefill prompts. */
+/** `Retry-After` while no replica with the software can decode, or its process has not registered. */
 const NO_REPLICA_RETRY_MS = 1_000
 
 /** Lower bound of the time from the begin of a stream until its caller gives up. */
@@ -123,6 +124,7 @@
 
 function requireSoftware (context: RouterContext, request: RequestState, software: SoftwareDigest, source: 'own' | 'holder' | 'sole_version'): NextStep {
   const { state } = context
+  if (software === UNKNOWN_SOFTWARE) return { type: 'refuse', status: 503, reason: 'origin_unknown', retryAfterMs: NO_REPLICA_RETRY_MS }
   const views = state.usedBySoftware.get(software) ?? []
   const replica = views[0]?.replica
   request.requiredSoftware = software
@@ -130,23 +132,6 @@
   // Without a `Retry-After`: the software does not come back.
   if (replica === undefined || !request.route.services.some(({ service }) => service === replica.service)) return { type: 'refuse', status: 503, reason: 'software_gone' }
   request.service = replica.service
-  if (views.every((view) => stageOf(view) === 'prefill')) return { type: 'refuse', status: 503, reason: 'no_replica', retryAfterMs: NO_REPLICA_RETRY_MS }
+  if (!views.some((view) => stageOf(view) !== 'prefill' && canRunOn(request, view))) return { type: 'refuse', status: 503, reason: 'no_replica', retryAfterMs: NO_REPLICA_RETRY_MS }
   return startAllotment(context, request)
 }
-
-/**
- * Binds a stream to the software of the replica that makes its first event, and has other processes
- * remember it.
- *
- * @param context - state, time and effects of the current event
- * @param request - request whose first event is about to reach the caller
- */
-export function bindSoftware ({ effects, nowMs, state }: RouterContext, request: RequestState): void {
-  const { resumedRequestId, requestId, route, sentSoftware } = request
-  if (route.kind !== 'streaming' || sentSoftware === undefined) return
-  request.requiredSoftware ??= sentSoftware
-  if (!route.isResumable) return
-  const firstRequestId = resumedRequestId ?? requestId
-  recordOrigin(state.origins, firstRequestId, request.requiredSoftware, nowMs)
-  effects.push({ type: 'record_origin', requestId: firstRequestId, software: request.requiredSoftware })
-}
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { startOf } from './BendfallRouterAnsweringProcess.js'
 import { recordFailure, recordSuccess } from './BendfallRouterReplicaHealth.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision, registrationsAgeMs, remainingMs } from './BendfallRouterContext.js'
@@ -60,7 +61,7 @@
   request.attempt += 1
   request.sends += 1
   request.prefillReplicaId = replicaId
-  request.sentTo = { replicaId, startedAtMs: view.replica.startedAtMs }
+  request.sentTo = { replicaId, startedAtMs: view.replica.startedAtMs, sentAtMs: context.nowMs }
   request.prefillSentAtMs = context.nowMs
   request.answerStartedAtMs = undefined
   const promptTokens = request.prompt?.promptTokens ?? 0
@@ -100,7 +101,7 @@
     learnSpeed(context, request, tookMs)
     learnTimeFactor(context, view, tookMs, request.prefillLeadMs)
     recordSuccess(view, context.nowMs)
-    request.handle = { replicaId, startedAtMs: view.replica.startedAtMs, address: view.replica.address, handle: outcome.handle, expiresAtMs: earliestReadyAtMs(context) + handleTtlMs }
+    request.handle = { replicaId, startedAtMs: startOf(view), address: view.replica.address, handle: outcome.handle, expiresAtMs: earliestReadyAtMs(context) + handleTtlMs }
   }
   releasePrefill(context, request)
   logDecision(context, request, 'prefill_done', { replica: replicaId, tookMs: Math.round(tookMs) })
--- a/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRegistrations.ts
@@ -13,6 +13,7 @@
 import { addReplica, removeReplica, updateRegistration, findReplicaByAddress } from './BendfallRouterMembers.js'
 import { endPreviousIncarnation } from './BendfallRouterRestarts.js'
 import type { RouterState } from './BendfallRouterState.js'
+import { assignSends, recordRenewal } from './BendfallRouterSuccession.js'
 
 /**
  * Applies a registration. At one address only the latest registration is used: on a day with
@@ -34,14 +35,16 @@
     const { isDraining, stage } = known.replica
     // The known load may date from before the change of stage.
     if (stage !== replica.stage) known.load = undefined
+    if (replica.heartbeats > known.replica.heartbeats) recordRenewal(context, known)
     updateRegistration(state, known, replica)
     if (isDraining !== replica.isDraining || stage !== replica.stage) logLearned(context, replica)
     return
   }
-  endPreviousIncarnation(context, replica)
+  const inherited = endPreviousIncarnation(context, replica)
   if (!claimAddress(context, replica)) return
   addReplica(state, replica)
   const view = state.replicas.get(replicaId)
+  if (view !== undefined) assignSends(context, inherited, view)
   if (isBack && view !== undefined) tryReplica(context, view)
   logLearned(context, replica)
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterReplicaHealth.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReplicaHealth.ts
@@ -112,6 +112,18 @@
   return replica.isDraining || isProcessLeaving(state.notices, formatProcessName(replica)) || (state.missing.has(replica.replicaId) && !haveRegistrationsExpired(state))
 }
 
+/**
+ * Returns whether the process of a replica may exit once it has responded.
+ *
+ * @param state - state of the entry
+ * @param replicaId - id of the replica
+ * @returns true for a replica that is leaving or no longer registered
+ */
+export function isExiting (state: RouterState, replicaId: string): boolean {
+  const view = state.replicas.get(replicaId)
+  return view === undefined || isLeaving(state, view)
+}
+
 // Counted over all replicas instead of one pool: the only prefill replica of a service may leave, while an outage
 // affects all pools alike.
 function haveRegistrationsExpired ({ missing, replicas }: RouterState): boolean {
--- a/packages/bendfall-router/src/entry/BendfallRouterRequest.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRequest.ts
@@ -15,7 +15,7 @@
 /** Result of a prefill, which its replica keeps for a short time. */
 export interface PrefillResult {
   readonly replicaId: string
-  /** Start time of the process that holds it; see {@link Replica}. */
+  /** Start time of the process that holds it; see {@link Replica}. Absent if that one had not registered. */
   readonly startedAtMs?: number
   /** `ip:port` of the replica that holds it. */
   readonly address: string
@@ -24,6 +24,11 @@
   readonly expiresAtMs: number
 }
 
+/** The process that is registered for a replica when a request is sent to it. */
+export interface SendTarget extends ReplicaProcess {
+  readonly sentAtMs: number
+}
+
 /**
  * Where a prompt is prefilled: on a prefill replica (`apart`), or on the decode replica because that
  * is faster (`in_place`) or because no prefill replica can be used (`in_place_only`).
@@ -155,8 +160,8 @@
   handle?: PrefillResult
   /** Prefill result used by the last send. */
   sentHandle?: PrefillResult
-  /** Replica process that the last send went to. */
-  sentTo?: ReplicaProcess
+  /** Where the last send went to. */
+  sentTo?: SendTarget
   /** Software of that replica. */
   sentSoftware?: SoftwareDigest
   /** Software that made the first event of the stream, and that all others must come from; absent before the first event. */
--- a/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
@@ -6,19 +6,25 @@
  * @module
  */
 import type { Replica } from '../BendfallRouterTypes.js'
+import { digestSoftware } from '../streams/BendfallRouterStreamOrigins.js'
+import { isAtSuccessor } from './BendfallRouterAnsweringProcess.js'
 import { recordProcessEnded } from './BendfallRouterCrashes.js'
 import { removeReplica } from './BendfallRouterMembers.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RequestState } from './BendfallRouterRequest.js'
+import type { ReplicaView } from './BendfallRouterState.js'
+import { unbindSoftware } from './BendfallRouterStreamBinding.js'
 import { inheritStatus } from './BendfallRouterSuccession.js'
 
 /**
- * Discards all state of the previous process of a replica and fails the sends to it.
+ * Discards all state of the previous process of a replica and fails the sends to it. Those that were made after it had
+ * ended are the new process's own and go on.
  *
  * @param context - state, time and effects of the current event
  * @param replica - registration of the new process, also if none was known before
+ * @returns the requests whose last send is at the new process
  */
-export function endPreviousIncarnation (context: RouterContext, replica: Replica): void {
+export function endPreviousIncarnation (context: RouterContext, replica: Replica): readonly RequestState[] {
   const { effects, state } = context
   const previous = state.replicas.get(replica.replicaId)
   if (previous !== undefined) {
@@ -27,13 +33,26 @@
   }
   const wasKnown = removeReplica(state, replica.replicaId)
   if (wasKnown) removeOrders(context, replica)
+  const inherited: RequestState[] = []
   let ended = 0
   for (const request of state.requests.values()) {
-    if (failPreviousSend(context, request, replica)) ended += 1
+    if (previous !== undefined && goesOn(context, request, previous, replica)) inherited.push(request)
+    else if (failPreviousSend(context, request, replica)) ended += 1
     if (request.handle !== undefined && isPreviousProcess(request.handle, replica)) request.handle = undefined
   }
-  if (!wasKnown && ended === 0) return
-  effects.push({ type: 'log', decision: 'replica_restarted', requestId: '', inputs: { replica: replica.replicaId, startedAtMs: replica.startedAtMs, ended } })
+  if (wasKnown || ended > 0) effects.push({ type: 'log', decision: 'replica_restarted', requestId: '', inputs: { replica: replica.replicaId, startedAtMs: replica.startedAtMs, ended, inherited: inherited.length } })
+  return inherited
+}
+
+// A crash ends the connections of a process, so that a stream which is still open is most likely the new process's, even
+// if no refused connection showed when the former one ended. Resumed at the former version, it might be joined from two.
+function goesOn (context: RouterContext, request: RequestState, previous: ReplicaView, replica: Replica): boolean {
+  if (previous.replica.address !== replica.address) return false
+  if (isAtSuccessor(request, previous)) return true
+  const isBegun = request.isCommitted && request.route.kind === 'streaming' && request.runReplicaId === replica.replicaId
+  if (!isBegun || previous.software === digestSoftware(replica)) return false
+  unbindSoftware(context, request)
+  return true
 }
 
 // The previous process cannot carry out its stage order any more.
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -49,6 +49,8 @@
   software: SoftwareDigest
   /** When the registered process was last seen to have ended; what answers afterwards is its successor. */
   endedAtMs?: number
+  /** When its registration was first renewed after that, perhaps by a write from before. */
+  renewedAtMs?: number
   /** Score that ranks the replica for the subset that this entry uses. */
   readonly subsetScore: number
   load?: ReplicaLoad
--- a/packages/bendfall-router/src/streams/BendfallRouterStreamOrigins.ts
+++ b/packages/bendfall-router/src/streams/BendfallRouterStreamOrigins.ts
@@ -10,6 +10,12 @@
 /** Digest of a service and a version of its software. */
 export type SoftwareDigest = number
 
+/**
+ * Stands for the software of a process that has not registered yet. It is recorded as the origin of streams that such
+ * a process began, so that nobody infers another one, and no replica matches it.
+ */
+export const UNKNOWN_SOFTWARE: SoftwareDigest = 0
+
 /** Which software began each of the latest streams, by the id of the request that brought the first event. */
 export interface StreamOrigins {
   current: Map<string, SoftwareDigest>
