Add the power cut of all entries in a release to the soak

Cause: the report of streams joined from two versions had a test of its own, but the soak killed all entries only under load, never in a replacement.

Change: plan `releases`: one version replaces the other at all decode replicas and all entries are killed, beside single kills, pauses and outages of the store; half of the callers don't name the first request of their stream. The plans' names have a file of their own.

--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesFleetSoak.ts
@@ -10,29 +10,20 @@
 import { call, findResponseViolation } from './BendfallFakesFleetCaller.js'
 import type { CallKind, CallRecord } from './BendfallFakesFleetCaller.js'
 import type { ResponseBeforeCrash, SeenOrder } from '../BendfallFakesFleetReplica.js'
-import { ALL_FAULTS, CUSTOMER_FAULTS, DRILL_FAULTS, injectFault, LEAVING_FAULTS, LIMIT_FAULTS, LOAD_FAULTS, NOTICE_FAULTS, PART_FAULTS, REPLACEMENT_FAULTS, VERSION_FAULTS } from './BendfallFakesSoakFaults.js'
+import { ALL_FAULTS, CUSTOMER_FAULTS, DRILL_FAULTS, injectFault, LEAVING_FAULTS, LIMIT_FAULTS, LOAD_FAULTS, NOTICE_FAULTS, PART_FAULTS, RELEASE_FAULTS, REPLACEMENT_FAULTS, VERSION_FAULTS } from './BendfallFakesSoakFaults.js'
 import { createSoakCustomers, findLeakedKeys, STEADY_KEY } from './BendfallFakesSoakCustomers.js'
 import { POISON_PATH, SOAK_EVENTS, SOAK_HOST, startSoakFleet } from './BendfallFakesSoakFleet.js'
 import type { SoakFleet, SoakFleetOptions } from './BendfallFakesSoakFleet.js'
 import { findCrashViolations, findExcessInBackoff, findLateToLeaving } from './BendfallFakesSoakNotices.js'
 import { callStream, findStreamViolation, shareGoneOn } from './BendfallFakesStreamCaller.js'
 import type { CallerStream } from './BendfallFakesStreamCaller.js'
+import type { SoakPlan } from './BendfallFakesSoakPlan.js'
 import { drawRegularParts, findPartViolations, sendBadPart } from './BendfallFakesSoakParts.js'
 import { createLoadFleet, createSoakLoad, findUnservedAfterLoad } from './BendfallFakesSoakLoad.js'
 import { findOverLimit } from './BendfallFakesSoakLimits.js'
 import type { IsEntryUndisturbed } from './BendfallFakesSoakLimits.js'
 import type { IsUndisturbed, NoticeEvidence } from './BendfallFakesSoakNotices.js'
 
-/**
- * Set of faults that a soak draws from: `faults` for general faults, `drills` for a store restored
- * from backups, `notices` for replicas that report that they leave or back off while a request crashes each
- * replica that runs it, `limits` for limits that replicas advertise on the total request rate of all entries,
- * `versions` for replicas of two software versions that replace one another while callers resume streams at
- * other entries, `parts` for prompt parts that crash replicas, `customers` for API keys that are revoked and reissued and a customer that exceeds its limit,
- * `load` for scarce capacity: bursts, a flooding customer, callers that leave, retry at once or read slowly.
- */
-export type SoakPlan = 'customers' | 'faults' | 'drills' | 'limits' | 'load' | 'notices' | 'parts' | 'versions'
-
 /** Result of a soak. */
 export interface SoakResult {
   readonly calls: number
@@ -79,7 +70,7 @@
 const HIGH_LOAD_PLANS: ReadonlySet<SoakPlan> = new Set(['limits', 'notices'])
 
 const STREAM_CALLERS = 16
-const STREAM_CALLERS_BY_PLAN: Readonly<Partial<Record<SoakPlan, number>>> = { load: 4, versions: STREAM_CALLERS }
+const STREAM_CALLERS_BY_PLAN: Readonly<Partial<Record<SoakPlan, number>>> = { load: 4, releases: STREAM_CALLERS, versions: STREAM_CALLERS }
 
 /** Events after which callers break off; undefined: they stay. */
 const LEAVES_AFTER = [undefined, undefined, 1, 6, 15, 23] as const
@@ -119,6 +110,7 @@
   faults: (seed) => seed % LEAVING_SEED_STEP === 0 ? LEAVING_FAULTS : ALL_FAULTS,
   notices: () => NOTICE_FAULTS,
   parts: () => PART_FAULTS,
+  releases: () => RELEASE_FAULTS,
   versions: (seed) => isCalm(seed) ? REPLACEMENT_FAULTS : VERSION_FAULTS
 }
 
@@ -141,6 +133,7 @@
   customers: () => ({ customers: createSoakCustomers() }),
   load: createLoadFleet,
   parts: (seed) => ({ ...PARTS_FLEET, responseBeforeCrash: RESPONSES_BEFORE_CRASH[seed % RESPONSES_BEFORE_CRASH.length] }),
+  releases: () => VERSIONS_FLEET,
   versions: () => VERSIONS_FLEET
 }
 
@@ -165,7 +158,7 @@
     const isOver = (): boolean => performance.now() >= endsAtMs
     await Promise.all([
       ...Array.from({ length: HIGH_LOAD_PLANS.has(plan) ? HIGH_LOAD_CALLERS : CALLERS }, (_, index) => runCaller(fleet, `${seed}-${index}`, createDraw(seed * CALLERS + index), records, isOver, plan === 'parts')),
-      ...Array.from({ length: STREAM_CALLERS_BY_PLAN[plan] ?? 0 }, (_, index) => runStreamCaller(fleet, `stream-${seed}-${index}`, createDraw(seed * STREAM_CALLERS + index), streams, isOver)),
+      ...Array.from({ length: STREAM_CALLERS_BY_PLAN[plan] ?? 0 }, (_, index) => runStreamCaller(fleet, `stream-${seed}-${index}`, createDraw(seed * STREAM_CALLERS + index), streams, isOver, plan !== 'releases' || index % 2 === 0)),
       ...Array.from({ length: plan === 'parts' ? 1 + seed % MAX_BAD_PARTS : 0 }, (_, index) => sendBadPart(fleet, index, seed, records, isOver)),
       load?.run(isOver),
       ...(plan === 'notices' ? [sendPoison(fleet, seed, records, isOver)] : []),
@@ -196,10 +189,10 @@
   return seed % 2 === 0
 }
 
-async function runStreamCaller ({ customers, entries }: SoakFleet, name: string, draw: Draw, streams: CallerStream[], isOver: () => boolean): Promise<void> {
+async function runStreamCaller ({ customers, entries }: SoakFleet, name: string, draw: Draw, streams: CallerStream[], isOver: () => boolean, namesFirstRequest: boolean): Promise<void> {
   for (let i = 0; !isOver(); i++) {
     const first = entries.indexOf(draw(entries))
-    streams.push(await callStream({ host: SOAK_HOST, key: customers === undefined ? undefined : STEADY_KEY, name: `${name}-${i}`, entries: [...entries.slice(first), ...entries.slice(0, first)], leavesAfter: draw(LEAVES_AFTER) }))
+    streams.push(await callStream({ host: SOAK_HOST, key: customers === undefined ? undefined : STEADY_KEY, name: `${name}-${i}`, entries: [...entries.slice(first), ...entries.slice(0, first)], leavesAfter: draw(LEAVES_AFTER), namesFirstRequest }))
     await sleep(CALL_PAUSE_MS)
   }
 }
--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFaults.ts
@@ -17,6 +17,9 @@
 /** Time before a leaving replica starts again: longer than the drain time, so that late requests show. */
 const ABSENCE_MS = 4_500
 
+/** Time between the replacement of two replicas in a release, and from there until all entries are killed. */
+const RELEASE_PAUSES_MS = [0, 50, 200] as const
+
 /** Factor by which other processes on its machine slow a replica down for a short time. */
 const SLOW_FACTOR = 2.5
 
@@ -132,6 +135,15 @@
     proxy.injectFault(undefined)
     return `${fault} ${proxy.address}`
   },
+  release: async (fleet, draw) => {
+    const decodes = fleet.models.filter(({ replica }) => replica.stage() === 'decode')
+    const [from, to] = versionsByCount(decodes)
+    for (const target of decodes.filter(({ softwareVersion }) => softwareVersion() === from)) {
+      target.replace(to)
+      await sleep(draw(RELEASE_PAUSES_MS))
+    }
+    return `${from} by ${to}, then kill_all ${await FAULTS.kill_all?.(fleet, draw)}`
+  },
   replica: async (fleet, draw) => {
     const { replica } = draw([...fleet.models.slice(1), ...fleet.plain])
     const fault = draw(REPLICA_FAULTS)
@@ -140,7 +152,7 @@
   },
   replace: async ({ models }, draw) => {
     const decodes = models.filter(({ replica }) => replica.stage() === 'decode')
-    const [from, to] = ['v1', 'v2'].sort((a, b) => countVersion(decodes, b) - countVersion(decodes, a)) as [string, string]
+    const [from, to] = versionsByCount(decodes)
     const target = draw(decodes.filter(({ softwareVersion }) => softwareVersion() === from))
     const replicaId = target.replicaId()
     target.replace(to)
@@ -226,7 +238,7 @@
 const DRILL = 'store_restored'
 
 /** Faults added later, which `ALL_FAULTS` leaves out so that earlier seeds draw the same faults as before. */
-const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'cut_off', 'keys', 'kill_all', 'limit', 'limit_all', 'replace', 'say_leaving', 'slow'])
+const LATER_FAULTS: ReadonlySet<string> = new Set([DRILL, 'back_off', 'cut_off', 'keys', 'kill_all', 'limit', 'limit_all', 'release', 'replace', 'say_leaving', 'slow'])
 export const ALL_FAULTS: readonly string[] = Object.keys(FAULTS).filter((name) => !LATER_FAULTS.has(name))
 
 /** Replicas that leave or back off only by response headers, alongside others that leave by registration or restart. */
@@ -247,6 +259,9 @@
 /** Replicas that leave, crash and slow down, entries that are killed singly and all at once, and outages of the store. */
 export const LOAD_FAULTS: readonly string[] = ['cut_off', 'kill', 'kill', 'kill_all', 'leave', 'leave', 'restart', 'restart', 'slow', 'slow', 'store_fails', 'store_fails']
 
+/** Releases of a software version in which all entries are killed, beside other kills, replacements and outages of the store. */
+export const RELEASE_FAULTS: readonly string[] = ['cut_off', 'kill', 'kill_all', 'pause', 'release', 'release', 'release', 'replace', 'store_fails']
+
 /** Replacements while all entries, sidecars and the store run undisturbed. */
 export const REPLACEMENT_FAULTS: readonly string[] = ['replace', 'replace', 'replica']
 
@@ -273,6 +288,11 @@
   return replicas.filter(({ softwareVersion }) => softwareVersion() === version).length
 }
 
+// Returns the more and the less common version.
+function versionsByCount (replicas: readonly SoakReplica[]): [string, string] {
+  return ['v1', 'v2'].sort((a, b) => countVersion(replicas, b) - countVersion(replicas, a)) as [string, string]
+}
+
 async function endNode (node: SoakNode, signal: 'SIGKILL' | 'SIGTERM', draw: Draw): Promise<void> {
   // A concurrent series of faults already ends this node.
   if (node.isEnding) return
