--- a/packages/bendfall-fakes/src/__tests__/process/BendfallFakesEndlessHeads.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/BendfallFakesEndlessHeads.test.ts
@@ -6,16 +6,13 @@
 import { answersIp } from '../../fleet/answers/BendfallFakesAnswersEntry.js'
 import { startFleetStore } from '../../fleet/BendfallFakesFleetStore.js'
 import { buildBundle, send } from './BundleHarness.js'
-import type { Bundle, BundledProcess } from './BundleHarness.js'
-import { assertBounded, assertEnded, MEMORY_MB, startEndlessServer } from './EndlessHarness.js'
+import type { Bundle } from './BundleHarness.js'
+import { assertBounded, assertEnded, CALLERS_PORT, CONFIG, HOST, MEMORY_MB, startEndlessServer, startEntry, TIMEOUT_MS } from './EndlessHarness.js'
 import type { EndlessResponse, EndlessServer, Pace } from './EndlessHarness.js'
 
-const HOST = 'endless.example'
 const STORE_IP = answersIp(51)
 const ENTRY_IP = answersIp(52)
 const REPLICA_IP = answersIp(53)
-const CALLERS_PORT = 17_391
-const TIMEOUT_MS = 2_500
 const PLAY_MS = 6_000
 
 /** Timeouts of the calls to the store and for reports; the store's has a second for the transfer. */
@@ -42,17 +39,6 @@
 const NAMES = Object.keys(FORMS)
 const PACES: readonly Pace[] = ['flood', 'drip']
 
-const ROUTE = { host: HOST, 'timeout-ms': TIMEOUT_MS, 'target-latency-ms': 400, priority: 1, service: 'app', 'max-attempts': 1 }
-const CONFIG = {
-  version: 1,
-  routes: [
-    { ...ROUTE, name: 'call', 'path-prefix': '/call/', kind: 'non_idempotent' },
-    { ...ROUTE, name: 'stream', 'path-prefix': '/stream/', kind: 'streaming', resumable: false, 'target-gap-ms': 500 }
-  ],
-  services: [{ name: 'app', 'max-connections': 500 }],
-  limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 100_000, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
-}
-
 function createResponse (name: string, pace: Pace, requestId = ''): EndlessResponse {
   const [head, piece] = FORMS[name] as readonly [string, string]
   return { head: head.replace('%ID', requestId), piece, pace }
@@ -69,10 +55,6 @@
   })
 }
 
-function startEntry (bundle: Bundle, keyValueAddress: string): Promise<BundledProcess> {
-  return bundle.start('entry', { instanceId: 'entry-1', availabilityZone: 'a', ip: ENTRY_IP, callersListen: `${ENTRY_IP}:${CALLERS_PORT}`, readyListen: `${ENTRY_IP}:17392`, peerPorts: [17_380, 17_389], keyValueAddress, memoryMb: MEMORY_MB, stopGraceS: 2 })
-}
-
 let bundle: Bundle
 test.before(() => { bundle = buildBundle() })
 test.after(() => bundle.remove())
@@ -86,7 +68,7 @@
     })
     store.put('op/config', CONFIG)
     store.put('servers/i-1', { service: 'app', address: replica.address, zone: 'a', version: 'v1', slots: 64, state: 'ready', 'cold-remaining-ms': 0, seq: 1 })
-    const entry = await startEntry(bundle, store.address)
+    const entry = await startEntry(bundle, ENTRY_IP, store.address)
     try {
       await sleep(1_000)
       const calls = ['call', 'stream'].flatMap((kind) => NAMES.map(async (name, index) => {
@@ -107,7 +89,7 @@
 
 test('an entry gives up bytes without end of the store', async () => {
   const store = await startRotatingServer(STORE_IP)
-  const entry = await startEntry(bundle, store.address)
+  const entry = await startEntry(bundle, ENTRY_IP, store.address)
   try {
     await assertBounded(entry, 2 * PLAY_MS)
     assertEnded(store, STORE_TIMEOUT_MS + SLACK_MS)
--- a/packages/bendfall-fakes/src/__tests__/process/EndlessHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/process/EndlessHarness.ts
@@ -3,11 +3,28 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import * as assert from 'uvu/assert'
-import type { BundledProcess } from './BundleHarness.js'
+import type { Bundle, BundledProcess } from './BundleHarness.js'
 
 /** Memory limit of the process under test. */
 export const MEMORY_MB = 200
 
+/** Host of the routes, their timeout, and the port at which the entry accepts callers. */
+export const HOST = 'endless.example'
+export const TIMEOUT_MS = 2_500
+export const CALLERS_PORT = 17_391
+
+const ROUTE = { host: HOST, 'timeout-ms': TIMEOUT_MS, 'target-latency-ms': 400, priority: 1, service: 'app', 'max-attempts': 1 }
+/** Configuration with a route of plain calls and one of streams. */
+export const CONFIG = {
+  version: 1,
+  routes: [
+    { ...ROUTE, name: 'call', 'path-prefix': '/call/', kind: 'non_idempotent' },
+    { ...ROUTE, name: 'stream', 'path-prefix': '/stream/', kind: 'streaming', resumable: false, 'target-gap-ms': 500 }
+  ],
+  services: [{ name: 'app', 'max-connections': 500 }],
+  limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 100_000, 'header-timeout-ms': 3_000, 'idle-timeout-ms': 15_000 }
+}
+
 const SAMPLE_MS = 20
 const FLOOD_INTERVAL_MS = 2
 const DRIP_INTERVAL_MS = 100
@@ -75,6 +92,11 @@
   return { address: `${host}:${(server.address() as AddressInfo).port}`, sent, close }
 }
 
+/** Starts an entry of the bundle at an IP address. */
+export function startEntry (bundle: Bundle, ip: string, keyValueAddress: string): Promise<BundledProcess> {
+  return bundle.start('entry', { instanceId: 'entry-1', availabilityZone: 'a', ip, callersListen: `${ip}:${CALLERS_PORT}`, readyListen: `${ip}:17392`, peerPorts: [17_380, 17_389], keyValueAddress, memoryMb: MEMORY_MB, stopGraceS: 2 })
+}
+
 /** Asserts that a process lives and keeps within its memory limit, read from outside. */
 export async function assertBounded (process: BundledProcess, playMs: number): Promise<void> {
   let peakMb = 0
