Ignore refused connections of a process that was seen to run on

Cause: a process that refuses connections now and then, while it renews its registration, would have counted as ended again with each of them, so that resumed streams avoid it. Found by reading; the users' pages say that replicas reset connections beyond their limit, which is no refusal.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterSuccessionSends.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterSuccessionSends.test.ts
@@ -138,6 +138,8 @@
   assert.equal(published.map((effect) => (effect as { software: SoftwareDigest }).software), [V1])
   assert.is(simulation.state.replicas.get('d1')?.endedAtMs, undefined)
   assert.is(only(failRun(simulation, attempt), 'reserve').replicaId, 'd2')
+  refuseConnection(simulation)
+  assert.is(simulation.state.replicas.get('d1')?.endedAtMs, undefined)
 })
 
 test('one late renewal does not show that the process lives', () => {
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -51,6 +51,8 @@
   endedAtMs?: number
   /** When its registration was first renewed after that, perhaps by a write from before. */
   renewedAtMs?: number
+  /** Whether the process was seen to run on after a refused connection. */
+  refusesWhileRunning?: boolean
   /** Score that ranks the replica for the subset that this entry uses. */
   readonly subsetScore: number
   load?: ReplicaLoad
--- a/packages/bendfall-router/src/entry/BendfallRouterSuccession.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterSuccession.ts
@@ -36,10 +36,9 @@
 export function recordConnectionRefused (context: RouterContext, address: string): void {
   const { effects, nowMs, state } = context
   const view = findReplicaByAddress(state, address)
-  if (view === undefined) return
+  if (view === undefined || view.refusesWhileRunning === true) return
   const isFirst = view.endedAtMs === undefined
   view.endedAtMs = nowMs
-  view.renewedAtMs = undefined
   const processName = formatProcessName(view.replica)
   const hadStatus = state.notices.delete(processName)
   state.limits.delete(processName)
@@ -89,7 +88,8 @@
 
 /**
  * Records that a registration was renewed. A process that goes on renewing it after a refused connection has not ended;
- * a connection may also be refused by a network, or while a process is too busy to accept it.
+ * a connection may also be refused by a network, or while a process is too busy to accept it. From then on only the
+ * registration of another process shows its end.
  *
  * @param context - state, time and effects of the current event
  * @param view - view of the replica
@@ -100,6 +100,6 @@
   if (context.nowMs - view.renewedAtMs < MAX_LATE_RENEWAL_MS) return
   const atProcess = [...context.state.requests.values()].filter((request) => isAtSuccessor(request, view))
   view.endedAtMs = undefined
-  view.renewedAtMs = undefined
+  view.refusesWhileRunning = true
   for (const request of atProcess) bindRegisteredSoftware(context, request, view.software)
 }
