--- a/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
+++ b/packages/bendfall-fakes/src/fleet/soak/BendfallFakesSoakFleet.ts
@@ -61,8 +61,8 @@
   readonly replicaId: () => string
   /** Version of the software that its process runs. */
   readonly softwareVersion: () => string
-  /** Replaces the process by one with a new id and another software version. */
-  readonly replace: (softwareVersion: string) => void
+  /** Replaces the process by one with a new id and another software version; the former registration lapses after a time. */
+  readonly replace: (softwareVersion: string, lapseMs?: number) => void
   /** Writes the registration; `none` removes it. */
   readonly register: (state: RegisteredState) => void
   /** Rewrites the last registration, as its owner does after a restore of the store. */
@@ -250,9 +250,9 @@
     seq += 1
     store.put(key, { born: replica.startedAtMs(), service: stage === undefined ? 'app' : 'llm', address: proxy.address, zone: 'a', version: softwareVersion, slots: 6, state, 'cold-remaining-ms': 0, stage: replica.stage(), seq })
   }
-  function replace (newSoftwareVersion: string): void {
+  function replace (newSoftwareVersion: string, lapseMs = LAPSE_MS): void {
     const formerKey = key
-    setTimeout(() => store.remove(formerKey), LAPSE_MS).unref()
+    setTimeout(() => store.remove(formerKey), lapseMs).unref()
     softwareVersion = newSoftwareVersion
     replacements += 1
     currentId = `${replicaId}-${replacements}`
