Test that a connection older than a refused one is not used again

Cause: the pool's part in telling a restarted process from its predecessor had no test of its own.

Change: BendfallEdgeConnectionRelease, for idle connections and those in use. The sends that a registration hands on are chosen without side effects in the condition.

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeConnectionRelease.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeConnectionRelease.test.ts
@@ -1,7 +1,7 @@
 // Guards against connections that are never released. After a close-delimited response whose reset
 // was found together with its last bytes, the pool kept the client until the replica was gone.
 import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { Connection } from '../../replica/BendfallEdgeConnections.js'
@@ -31,4 +31,34 @@
   assert.is(released.length, 1)
 })
 
+// Guards against requests to a process that has stopped listening, over connections that it still serves.
+for (const state of ['idle', 'in use'] as const) {
+  test(`a connection that is ${state} when another one is refused is not used again`, async () => {
+    const sockets = new Set<Socket>()
+    const server = createServer((socket) => {
+      sockets.add(socket)
+      socket.on('error', () => {})
+      socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'))
+    })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.71', resolve) })
+    const pool = createConnectionPool(`127.0.0.71:${(server.address() as AddressInfo).port}`, () => {})
+    const held: Connection[] = []
+    const holdingPool = { ...pool, release: (connection: Connection) => { held.push(connection) } }
+    const call = (requestId: string): Promise<string> => new Promise((resolve) => {
+      startReplicaCall(holdingPool, { method: 'GET', path: '/', headers: [], requestId }, { onHead: () => {}, onChunk: () => {}, onEnd: () => resolve('end'), onFail: () => resolve('fail') })
+    })
+    const release = (): void => { for (const connection of held.splice(0)) pool.release(connection) }
+    assert.is(await call('r-1'), 'end')
+    await new Promise((resolve) => setImmediate(resolve))
+    if (state === 'idle') release()
+    server.close()
+    assert.is(await new Promise((resolve) => pool.check(resolve)), 'ended')
+    release()
+    assert.is(await call('r-2'), 'fail')
+    assert.is(sockets.size, 1)
+    pool.destroy()
+    for (const socket of sockets) socket.destroy()
+  })
+}
+
 test.run()
--- a/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRestarts.ts
@@ -33,11 +33,15 @@
   }
   const wasKnown = removeReplica(state, replica.replicaId)
   if (wasKnown) removeOrders(context, replica)
+  const predecessor = previous?.replica.address === replica.address ? previous : undefined
   const inherited: RequestState[] = []
   let ended = 0
   for (const request of state.requests.values()) {
-    if (previous !== undefined && goesOn(context, request, previous, replica)) inherited.push(request)
-    else if (failPreviousSend(context, request, replica)) ended += 1
+    if (predecessor !== undefined && isAtSuccessor(request, predecessor)) inherited.push(request)
+    else if (predecessor !== undefined && isAtEitherVersion(request, predecessor, replica)) {
+      unbindSoftware(context, request)
+      inherited.push(request)
+    } else if (failPreviousSend(context, request, replica)) ended += 1
     if (request.handle !== undefined && isPreviousProcess(request.handle, replica)) request.handle = undefined
   }
   if (wasKnown || ended > 0) effects.push({ type: 'log', decision: 'replica_restarted', requestId: '', inputs: { replica: replica.replicaId, startedAtMs: replica.startedAtMs, ended, inherited: inherited.length } })
@@ -46,13 +50,9 @@
 
 // A crash ends the connections of a process, so that a stream which is still open is most likely the new process's, even
 // if no refused connection showed when the former one ended. Resumed at the former version, it might be joined from two.
-function goesOn (context: RouterContext, request: RequestState, previous: ReplicaView, replica: Replica): boolean {
-  if (previous.replica.address !== replica.address) return false
-  if (isAtSuccessor(request, previous)) return true
-  const isBegun = request.isCommitted && request.route.kind === 'streaming' && request.runReplicaId === replica.replicaId
-  if (!isBegun || previous.software === digestSoftware(replica)) return false
-  unbindSoftware(context, request)
-  return true
+function isAtEitherVersion ({ isCommitted, route, runReplicaId }: RequestState, previous: ReplicaView, replica: Replica): boolean {
+  const isBegunHere = isCommitted && route.kind === 'streaming' && runReplicaId === replica.replicaId
+  return isBegunHere && previous.software !== digestSoftware(replica)
 }
 
 // The previous process cannot carry out its stage order any more.
