Let gaps in the registrations not refuse resumed streams of unnamed requests

Cause: these streams followed the rule for those of unknown origin, which asks for a time without a gap.

Change: for them it counts that the process has seen one version alone since before the stream can have begun; the registrations must be read anew.

--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
@@ -190,4 +190,18 @@
   assert.ok(meanMs < 1, `${meanMs.toFixed(3)} ms for a decision`)
 })
 
+test('a stream of an unnamed request goes on after a gap in the registrations, and not right after a start', () => {
+  const simulation = createFleet([MIXED[0] as Replica, MIXED[2] as Replica, MIXED[3] as Replica])
+  watch(simulation)
+  simulation.wait(9_000)
+  watch(simulation, 1_000)
+  const resumeUnnamed = (key: string): RouterEffect[] => {
+    const effects = resume(simulation, key, { lastEventId: '4' })
+    if (!typesOf(effects).includes('refresh_replicas')) return effects
+    return simulation.send({ type: 'config_proven', provenAtMs: simulation.nowMs() })
+  }
+  assert.not(typesOf(resumeUnnamed('1')).includes('refuse'))
+  assert.is(only(answerOrigin(simulation, '2', { type: 'unknown', silentHolders: 0 }), 'refuse').reason, 'origin_unknown')
+})
+
 test.run()
--- a/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
+import { onlySeenSoftware, soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
 import { findOrigin, UNKNOWN_SOFTWARE } from '../streams/BendfallRouterStreamOrigins.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 import { startAllotment } from './BendfallRouterAllotment.js'
@@ -115,7 +115,9 @@
   const { route, service } = request
   const sinceMs = beginsAfterMs(request)
   const isRouteUnchanged = (state.routedSinceMs.get(route.name)?.sinceMs ?? Infinity) <= sinceMs
-  return route.services.length === 1 && isRouteUnchanged ? soleSoftware(state.softwareHistory, service, sinceMs) : undefined
+  if (route.services.length !== 1 || !isRouteUnchanged) return undefined
+  // Nobody else can tell the origin of a stream whose first request isn't named.
+  return request.resumedRequestId === undefined ? onlySeenSoftware(state.softwareHistory, service, sinceMs) : soleSoftware(state.softwareHistory, service, sinceMs)
 }
 
 function refuseUnknownOrigin ({ silentOriginHolders = 0 }: RequestState): NextStep {
--- a/packages/bendfall-router/src/streams/BendfallRouterSoftwareHistory.ts
+++ b/packages/bendfall-router/src/streams/BendfallRouterSoftwareHistory.ts
@@ -8,6 +8,8 @@
 
 /** Software of the registered replicas over time. */
 export interface SoftwareHistory {
+  /** When registrations were first known; infinite before. */
+  beganAtMs: number
   /** Start of the time for which all changes of registrations are known; infinite before the first read. */
   completeSinceMs: number
   /** When the registrations were last known to be complete. */
@@ -26,7 +28,7 @@
 
 /** @returns a history without observations */
 export function createSoftwareHistory (): SoftwareHistory {
-  return { completeSinceMs: Infinity, confirmedAtMs: -Infinity, services: new Map() }
+  return { beganAtMs: Infinity, completeSinceMs: Infinity, confirmedAtMs: -Infinity, services: new Map() }
 }
 
 /**
@@ -38,6 +40,7 @@
 export function confirmHistory (history: SoftwareHistory, nowMs: number): void {
   if (nowMs - history.confirmedAtMs > MAX_UNCONFIRMED_MS) history.completeSinceMs = nowMs
   history.confirmedAtMs = nowMs
+  history.beganAtMs = Math.min(history.beganAtMs, nowMs)
 }
 
 /**
@@ -64,8 +67,21 @@
  * @param sinceMs - start of the time, up to now
  * @returns the software; undefined if there were several, or the time was not observed completely
  */
-export function soleSoftware ({ completeSinceMs, services }: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
-  if (completeSinceMs > sinceMs) return undefined
+export function soleSoftware (history: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
+  return history.completeSinceMs > sinceMs ? undefined : onlySeenSoftware(history, service, sinceMs)
+}
+
+/**
+ * Returns the only software of a service that this process has seen in a time. While the key-value service is down no
+ * entry learns of another one, so that gaps don't matter here; what was before the process had started does.
+ *
+ * @param history - observations of this process
+ * @param service - name of the service
+ * @param sinceMs - start of the time, up to now
+ * @returns the software; undefined if there were several or none, or the process was started later
+ */
+export function onlySeenSoftware ({ beganAtMs, services }: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
+  if (beganAtMs > sinceMs) return undefined
   const recent = [...services.get(service) ?? []].filter(([, { lastSeenAtMs, replicas }]) => replicas > 0 || lastSeenAtMs >= sinceMs)
   return recent.length === 1 ? recent[0]?.[0] : undefined
 }
