--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsReplaced.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsReplaced.test.ts
@@ -28,8 +28,13 @@
   await Promise.all([fleet.killEntries(ALL_ENTRIES, DOWN_MS), left])
 }
 
-for (const namesFirstRequest of [true, false]) {
-  test(`streams of callers that ${namesFirstRequest ? 'name' : "don't name"} their first request are not joined from two versions after a power cut`, () => withVersionFleet({ hasSidecars: true }, async (fleet) => {
+const NAMES_FIRST_REQUEST: Readonly<Record<string, boolean>> = {
+  'streams of callers that name their first request are not joined from two versions after a power cut': true,
+  'streams of callers that do not name their first request are not joined from two versions after a power cut': false
+}
+
+for (const [name, namesFirstRequest] of Object.entries(NAMES_FIRST_REQUEST)) {
+  test(name, () => withVersionFleet({ hasSidecars: true }, async (fleet) => {
     await Promise.all(fleet.replicas().filter((replica) => replica.softwareVersion !== 'v1').map(({ leave }) => leave()))
     await sleep(SETTLE_MS)
     let isOver = false
