Tell responses of a process that shuts down from those of its successor

Callers saw: a replica that shut down and started again under its id was never used again by an entry, so that its capacity was missing.

Cause: a process that shuts down stops listening before it has answered all requests. The refused connection counted as its end, and what it said in its last responses (Server-Leaving, Retry-After) as a notice of its successor, which inherited it when it registered. Streams that it began then were bound to no version.

Change: each response tells whether a connection has been refused since its own was opened. Notices of such a response are dropped, its streams are bound to the registered version, and an announced shutdown keeps close-delimited responses from counting as truncated when the listener is closed.

--- a/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
+++ b/packages/bendfall-edge/src/pools/BendfallEdgePools.ts
@@ -60,7 +60,7 @@
     const sentAtMs = loop.clock.nowMs()
     const request = dialect.stageOrder({ replicaId, stage, fence, holder: instanceId })
     startControlCall(poolOf(address), request, { clock: loop.clock, timeoutMs: ORDER_TIMEOUT_MS }, (answer) => {
-      if (answer.type === 'answered') dispatchControlNotice(options, { replicaId, sentAtMs }, answer)
+      if (answer.type === 'answered') dispatchControlNotice(options, { replicaId, sentAtMs, isFormerProcess: answer.isFormerProcess }, answer)
       handleOutcome(replicaId, answer.type === 'answered' ? dialect.readOrderStatus(answer.status) : answer.isSent ? 'unknown' : 'refused')
     })
   }
--- a/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeControlCall.ts
@@ -20,7 +20,8 @@
 
 /** Outcome of a control call. */
 export type ControlCallOutcome =
-  | { readonly type: 'answered', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
+  /** `isFormerProcess`: whether the process has ended or stopped listening since the connection was opened. */
+  | { readonly type: 'answered', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer, readonly isFormerProcess: boolean }
   /** `isSent`: whether bytes of the request may have reached the replica. */
   | { readonly type: 'unanswered', readonly isSent: boolean }
 
@@ -60,7 +61,7 @@
       call.abort()
       finish({ type: 'unanswered', isSent: true })
     },
-    onEnd: () => finish({ type: 'answered', status, headers, body: body.take() }),
+    onEnd: () => finish({ type: 'answered', status, headers, body: body.take(), isFormerProcess: !call.isCurrent() }),
     onFail: (_, isSent) => finish({ type: 'unanswered', isSent })
   })
   if (isOver) return
--- a/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeHolds.ts
@@ -36,7 +36,7 @@
   function takeHold (effect: RouterEffectOf<'take_hold'>): void {
     const sentAtMs = loop.clock.nowMs()
     startControlCall(poolOf(effect.address), dialect.takeHold(effect), { clock: loop.clock, timeoutMs: effect.timeoutMs }, (answer) => {
-      if (answer.type === 'answered') dispatchControlNotice(options, { replicaId: effect.replicaId, sentAtMs }, answer)
+      if (answer.type === 'answered') dispatchControlNotice(options, { replicaId: effect.replicaId, sentAtMs, isFormerProcess: answer.isFormerProcess }, answer)
       const outcome: HoldOutcome = answer.type === 'answered' ? dialect.readHoldAnswer(answer.status, answer.body) : { type: 'unanswered' }
       loop.dispatch({ type: 'hold_answered', key: effect.key, attempt: effect.attempt, outcome })
     })
--- a/packages/bendfall-edge/src/replica/BendfallEdgeNotices.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeNotices.ts
@@ -21,6 +21,8 @@
 export interface SentCall {
   readonly replicaId: string
   readonly sentAtMs: number
+  /** Whether the response came from a process that has ended or stopped listening since. */
+  readonly isFormerProcess?: boolean
 }
 
 /**
@@ -30,9 +32,9 @@
  * @param call - call that the response belongs to
  * @param head - decoded head of the response
  */
-export function dispatchNotice ({ hasLimit, loop }: Pick<NoticeOptions, 'hasLimit' | 'loop'>, { replicaId, sentAtMs }: SentCall, { isWrongReplica, notice }: ResponseHead): void {
+export function dispatchNotice ({ hasLimit, loop }: Pick<NoticeOptions, 'hasLimit' | 'loop'>, { isFormerProcess, replicaId, sentAtMs }: SentCall, { isWrongReplica, notice }: ResponseHead): void {
   if (isWrongReplica || !(hasContent(notice) || hasLimit(replicaId))) return
-  loop.dispatch({ type: 'replica_spoke', replicaId, notice, sentAtMs })
+  loop.dispatch({ type: 'replica_spoke', replicaId, notice, sentAtMs, isFormerProcess })
 }
 
 function hasContent ({ backoffMs, isLeaving, limit, undecoded }: ReplicaNotice): boolean {
--- a/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeReplicaCall.ts
@@ -43,6 +43,8 @@
   readonly resume: () => void
   /** @returns bytes of the response that were read ahead from the connection while the call is paused */
   readonly unreadBytes: () => number
+  /** @returns whether no connection to the replica has been refused since that of the call was opened */
+  readonly isCurrent: () => boolean
 }
 
 /**
@@ -114,7 +116,8 @@
       if (!isEnding) controller?.pause()
     },
     resume: () => controller?.resume(),
-    unreadBytes: () => isOver ? 0 : connection.unreadBytes()
+    unreadBytes: () => isOver ? 0 : connection.unreadBytes(),
+    isCurrent: connection.isCurrent
   }
 }
 
--- a/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeRunListener.ts
@@ -46,7 +46,7 @@
 
 /** State of a request sent for execution. */
 export interface RunSend {
-  readonly call: { readonly abort: () => void, readonly pause: () => void, readonly resume: () => void, readonly unreadBytes?: () => number }
+  readonly call: { readonly abort: () => void, readonly pause: () => void, readonly resume: () => void, readonly unreadBytes?: () => number, readonly isCurrent?: () => boolean }
   readonly cancelTimeout: () => void
   /** Complete response, buffered until its delivery to the caller. */
   held?: BufferedResponse
@@ -169,7 +169,7 @@
     this.options.send()?.cancelTimeout()
     this.exchange.start(this.status, this.isEventStream() ? removeContentLength(this.headers) : this.headers)
     const { attempt, key } = this.effect
-    this.options.loop.dispatch({ type: 'answer_started', key, attempt })
+    this.options.loop.dispatch({ type: 'answer_started', key, attempt, isFormerProcess: this.options.send()?.call.isCurrent?.() === false })
   }
 
   private relay (bytes: Buffer): void {
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -84,7 +84,7 @@
       ...listener,
       onHead: (status, answerHeaders, head) => {
         // Must precede the failure that the head may cause, so that the retry avoids this replica.
-        dispatchNotice(options, { replicaId, sentAtMs }, head)
+        dispatchNotice(options, { replicaId, sentAtMs, isFormerProcess: !call.isCurrent() }, head)
         listener.onHead(status, answerHeaders, head)
       }
     })
--- a/packages/bendfall-fakes/src/__tests__/unit/RawReplicaHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/RawReplicaHarness.ts
@@ -37,6 +37,8 @@
 export interface RawReplicaHarness {
   /** Writes the responses of the replica; may be replaced at any time. */
   respondWith: RawResponder
+  /** Stops listening; open connections go on. */
+  readonly stopListening: () => void
   /** Stops listening and closes all connections gracefully, as the kernel does for a process that is killed. */
   readonly endReplica: () => void
   readonly close: () => Promise<void>
@@ -76,6 +78,7 @@
   })
   for (let i = 0; i < 100 && await call({ ...READY_ENDPOINT, path: '/api/ready', id: 'ready' }) !== 200; i++) await sleep(20)
   return Object.assign(harness, {
+    stopListening: () => { replica.close() },
     endReplica: () => {
       replica.close()
       for (const socket of sockets) socket.end()
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterSuccession.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterSuccession.test.ts
@@ -13,10 +13,13 @@
 const BACKS_OFF: ReplicaNotice = { isLeaving: false, backoffMs: BACKOFF_MS }
 const LEAVES: ReplicaNotice = { isLeaving: true }
 
+/** The replica that restarts. */
+const FIRST = replicaOf('a1', 'plain', { startedAtMs: FIRST_START_MS, address: ADDRESS })
+
 let nextKey = 0
 
 function createScene (): RouterSimulation {
-  const replicas = [replicaOf('a1', 'plain', { startedAtMs: FIRST_START_MS, address: ADDRESS }), replicaOf('a2', 'plain', { startedAtMs: FIRST_START_MS, address: 'a2:80' })]
+  const replicas = [FIRST, replicaOf('a2', 'plain', { startedAtMs: FIRST_START_MS, address: 'a2:80' })]
   const simulation = createSimulation([plainRoute()], replicas)
   simulation.send({ type: 'replica_spoke', replicaId: 'a2', notice: LEAVES })
   return simulation
@@ -56,8 +59,29 @@
     register(simulation, 1_200)
     assert.is(isUsed(simulation), true)
   })
+
+  test(`${name} that a process reports over an older connection after one was refused does not bind its successor`, () => {
+    const simulation = createScene()
+    simulation.send({ type: 'connection_refused', address: ADDRESS })
+    simulation.send({ type: 'replica_spoke', replicaId: 'a1', notice, isFormerProcess: true })
+    assert.is(isUsed(simulation), true)
+    register(simulation, 1_200)
+    simulation.send({ type: 'replica_spoke', replicaId: 'a1', notice, isFormerProcess: true })
+    assert.is(isUsed(simulation), true)
+  })
 }
 
+test('a process that runs on after a refused connection is believed over its older connections', () => {
+  const simulation = createScene()
+  simulation.send({ type: 'connection_refused', address: ADDRESS })
+  for (let heartbeats = 1; heartbeats <= 6; heartbeats += 1) {
+    simulation.wait(1_200)
+    simulation.send({ type: 'replicas_changed', present: [{ ...FIRST, heartbeats: FIRST.heartbeats + heartbeats, revision: 9 + heartbeats }], gone: [] })
+  }
+  simulation.send({ type: 'replica_spoke', replicaId: 'a1', notice: LEAVES, isFormerProcess: true })
+  assert.is(isUsed(simulation), false)
+})
+
 test('a backoff lasts as long as its process has asked for, whatever its predecessor had asked for', () => {
   const simulation = createScene()
   speak(simulation, { isLeaving: false, backoffMs: 600_000 })
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterSuccessionSends.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterSuccessionSends.test.ts
@@ -81,6 +81,16 @@
   assert.is(only(startAnswer(simulation, attempt), 'record_origin').software, UNKNOWN_SOFTWARE)
 })
 
+test('a stream whose response begins at a process that has stopped listening goes on at the version of that process', () => {
+  const simulation = createFleet()
+  const attempt = startStream(simulation)
+  simulation.wait(1)
+  refuseConnection(simulation)
+  const started = simulation.send({ type: 'answer_started', key: '1', attempt, isFormerProcess: true })
+  assert.is(only(started, 'record_origin').software, V1)
+  assert.is(only(failRun(simulation, attempt), 'reserve').replicaId, 'd2')
+})
+
 test('a stream that a process began before its registration is cut when that process is lost', () => {
   const simulation = createFleet()
   refuseConnection(simulation)
--- a/packages/bendfall-router/src/entry/BendfallRouterAnsweringProcess.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterAnsweringProcess.ts
@@ -36,9 +36,10 @@
  * @param view - view of the registered process
  * @returns false if it was sent to the registered process, or to another replica
  */
-export function isAtSuccessor ({ answerStartedAtMs = -Infinity, prefillReplicaId, runReplicaId, sentTo }: RequestState, { endedAtMs, replica: { replicaId } }: ReplicaView): boolean {
+export function isAtSuccessor ({ answerStartedAtMs = -Infinity, isAnsweredByFormer, prefillReplicaId, runReplicaId, sentTo }: RequestState, { endedAtMs, replica: { replicaId } }: ReplicaView): boolean {
   if (endedAtMs === undefined || sentTo?.replicaId !== replicaId) return false
   if (runReplicaId !== replicaId && prefillReplicaId !== replicaId) return false
-  // A send may be under way when another one shows that the process has ended. Its response tells who got it.
-  return sentTo.sentAtMs >= endedAtMs || answerStartedAtMs >= endedAtMs
+  // A send may be under way when another one shows that the process has ended. Its response tells who got it: a process
+  // that shuts down refuses connections before it has answered all requests.
+  return sentTo.sentAtMs >= endedAtMs || (answerStartedAtMs >= endedAtMs && isAnsweredByFormer !== true)
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterContext.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterContext.ts
@@ -110,6 +110,7 @@
   request.sentSoftware = softwareOf(view)
   request.runSentAtMs = nowMs
   request.answerStartedAtMs = undefined
+  request.isAnsweredByFormer = undefined
   view.inFlight += 1
 }
 
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -119,8 +119,8 @@
   | { readonly type: 'origin_answered', readonly key: string, readonly attempt: number, readonly outcome: OriginOutcome }
   | { readonly type: 'confirm_answered', readonly key: string, readonly attempt: number, readonly outcome: ConfirmOutcome }
   | { readonly type: 'prefill_answered', readonly key: string, readonly attempt: number, readonly outcome: PrefillOutcome }
-  /** From now on, bytes of the response go to the caller. */
-  | { readonly type: 'answer_started', readonly key: string, readonly attempt: number }
+  /** From now on, bytes of the response go to the caller. `isFormerProcess` as for `replica_spoke`. */
+  | { readonly type: 'answer_started', readonly key: string, readonly attempt: number, readonly isFormerProcess?: boolean }
   /** The complete response was received; `status` is the replica's. If it was close-delimited, a crash may have truncated it. */
   | { readonly type: 'answer_complete', readonly key: string, readonly attempt: number, readonly status: number, readonly outputEvents: number, readonly longestGapMs?: number, readonly isCloseDelimited?: boolean }
   | { readonly type: 'run_failed', readonly key: string, readonly attempt: number, readonly failure: SendFailure, readonly lastEventId?: string }
@@ -129,8 +129,11 @@
   | { readonly type: 'try_timed_out', readonly key: string, readonly attempt: number }
   /** Timer tick of the pool balancing; `fence` is present while this process holds the lease on the pools. */
   | { readonly type: 'balance_due', readonly fence?: number }
-  /** A replica reported its status in the head of a response to any request, which was sent at `sentAtMs`. */
-  | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice, readonly sentAtMs?: number }
+  /**
+   * A replica reported its status in the head of a response to any request, which was sent at `sentAtMs`. `isFormerProcess`:
+   * a connection to its address has been refused since the one of the response was opened.
+   */
+  | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice, readonly sentAtMs?: number, readonly isFormerProcess?: boolean }
   /** Nothing listens at the address of a replica. */
   | { readonly type: 'connection_refused', readonly address: string }
   /** Limits that other entries have learned of. */
--- a/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterNotice.ts
@@ -27,10 +27,16 @@
  * @param context - context of the current event
  * @param event - the notice, the replica's id, and when the request that it responds to was sent
  */
-export function handleReplicaNotice (context: RouterContext, { notice, replicaId, sentAtMs = -Infinity }: Pick<RouterEventOf<'replica_spoke'>, 'notice' | 'replicaId' | 'sentAtMs'>): void {
+export function handleReplicaNotice (context: RouterContext, { isFormerProcess, notice, replicaId, sentAtMs = -Infinity }: Pick<RouterEventOf<'replica_spoke'>, 'isFormerProcess' | 'notice' | 'replicaId' | 'sentAtMs'>): void {
   const { effects, nowMs, state } = context
-  const replica = state.replicas.get(replicaId)?.replica
-  if (replica === undefined) return
+  const view = state.replicas.get(replicaId)
+  if (view === undefined) return
+  // The status of a process that has ended, or shuts down, doesn't bind its successor at the same address.
+  if (isFormerProcess === true && view.refusesWhileRunning !== true) {
+    if (notice.isLeaving && view.endedAtMs !== undefined) view.hasAnnouncedExit = true
+    return
+  }
+  const { replica } = view
   logUndecoded(context, replica, notice)
   if (notice.limit !== undefined) handleLimitNotice(context, replica, notice.limit, sentAtMs)
   const change = recordNotice(state.notices, formatProcessName(replica), notice, nowMs)
--- a/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPrefill.ts
@@ -64,6 +64,7 @@
   request.sentTo = { replicaId, startedAtMs: view.replica.startedAtMs, sentAtMs: context.nowMs }
   request.prefillSentAtMs = context.nowMs
   request.answerStartedAtMs = undefined
+  request.isAnsweredByFormer = undefined
   const promptTokens = request.prompt?.promptTokens ?? 0
   request.isPrefillAlone = backlogTokensOf(view) === 0
   request.prefillLeadMs = leadMs
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -75,6 +75,7 @@
   }),
   answer_started: (context, event) => withAttempt(context, event, (request) => {
     request.answerStartedAtMs = context.nowMs
+    request.isAnsweredByFormer = event.isFormerProcess === true
     if (!request.isCommitted) recordResponseStart(context, request)
     if (!request.isCommitted && request.phase === 'run') recordRunOutcome(context, request.service, 'taken')
     if (!request.isCommitted && request.phase === 'run') recordUsedResult(context, request)
--- a/packages/bendfall-router/src/entry/BendfallRouterReplicaHealth.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReplicaHealth.ts
@@ -117,11 +117,11 @@
  *
  * @param state - state of the entry
  * @param replicaId - id of the replica
- * @returns true for a replica that is leaving or no longer registered
+ * @returns true for a replica that is leaving or no longer registered, or that has reported its shutdown before it stopped listening
  */
 export function isExiting (state: RouterState, replicaId: string): boolean {
   const view = state.replicas.get(replicaId)
-  return view === undefined || isLeaving(state, view)
+  return view === undefined || view.hasAnnouncedExit === true || isLeaving(state, view)
 }
 
 // Counted over all replicas instead of one pool: the only prefill replica of a service may leave, while an outage
--- a/packages/bendfall-router/src/entry/BendfallRouterRequest.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterRequest.ts
@@ -179,6 +179,8 @@
   overtimeAttempt?: number
   /** When the response of that run started; absent before. */
   answerStartedAtMs?: number
+  /** Whether that response comes from a process that had ended, or stopped listening, before it started. */
+  isAnsweredByFormer?: boolean
   /** Whether bytes of a response were sent to the caller. */
   isCommitted: boolean
   /** Whether the first byte of the response was late. */
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -49,6 +49,8 @@
   software: SoftwareDigest
   /** When the registered process was last seen to have ended; what answers afterwards is its successor. */
   endedAtMs?: number
+  /** Whether the process that has ended had reported its shutdown. */
+  hasAnnouncedExit?: boolean
   /** When its registration was first renewed after that, perhaps by a write from before. */
   renewedAtMs?: number
   /** Whether the process was seen to run on after a refused connection. */
--- a/packages/bendfall-router/src/entry/BendfallRouterSuccession.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterSuccession.ts
@@ -8,7 +8,7 @@
  */
 import { formatProcessName } from '../crashes/BendfallRouterCrashRecords.js'
 import { moveLimit } from '../limits/BendfallRouterReplicaLimits.js'
-import { moveAmbiguousBackoff, moveNotices } from '../notices/BendfallRouterNotices.js'
+import { isProcessLeaving, moveAmbiguousBackoff, moveNotices } from '../notices/BendfallRouterNotices.js'
 import type { Replica } from '../BendfallRouterTypes.js'
 import { isAtSuccessor } from './BendfallRouterAnsweringProcess.js'
 import type { RouterContext } from './BendfallRouterContext.js'
@@ -40,6 +40,7 @@
   const isFirst = view.endedAtMs === undefined
   view.endedAtMs = nowMs
   const processName = formatProcessName(view.replica)
+  view.hasAnnouncedExit ||= isProcessLeaving(state.notices, processName)
   const hadStatus = state.notices.delete(processName)
   state.limits.delete(processName)
   if (isFirst) effects.push({ type: 'log', decision: 'replica_process_ended', requestId: '', inputs: { replica: view.replica.replicaId, startedAtMs: view.replica.startedAtMs } })
