Bound the memory and time of messages that arrive in pieces of one byte

Callers saw nothing yet; a peer in trouble could fill the heap of a sidecar (80 MB) or stop the event loop of a process within the limits of a message.

Change: they use the byte collector. An envelope that arrives whole is still not copied.

--- a/packages/bendfall-node/src/edge/BendfallNodeEdgeBody.ts
+++ b/packages/bendfall-node/src/edge/BendfallNodeEdgeBody.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingMessage } from 'node:http'
+import { createByteCollector } from 'bendfall-platform'
 import type { Clock } from '../runtime/BendfallNodeClock.js'
 
 /** Bounds on a body. */
@@ -30,8 +31,7 @@
  * @param onOutcome - called once, when the reading ended
  */
 export function readBody (request: IncomingMessage, limits: BodyLimits, clock: Clock, onOutcome: (outcome: BodyOutcome) => void): void {
-  const chunks: Buffer[] = []
-  let receivedBytes = 0
+  const received = createByteCollector()
 
   function finish (outcome: BodyOutcome): void {
     cancelTimeout()
@@ -40,12 +40,11 @@
   }
 
   function onData (chunk: Buffer): void {
-    receivedBytes += chunk.length
-    chunks.push(chunk)
-    if (receivedBytes > limits.bodyBytes) finish({ type: 'too_large' })
+    if (received.length() + chunk.length > limits.bodyBytes) finish({ type: 'too_large' })
+    else received.append(chunk)
   }
 
-  const onEnd = (): void => finish({ type: 'whole', body: Buffer.concat(chunks) })
+  const onEnd = (): void => finish({ type: 'whole', body: received.take() })
   const onClose = (): void => finish({ type: 'left' })
   const cancelTimeout = clock.callAt(clock.nowMs() + limits.bodyTimeoutMs, () => finish({ type: 'timeout' }))
   request.on('error', ignoreError)
--- a/packages/bendfall-node/src/transport/BendfallNodeEnvelope.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeEnvelope.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import { createByteCollector } from 'bendfall-platform'
+
 /** Flag of the last envelope of a stream; its message is JSON. */
 export const END_STREAM_FLAG = 0b10
 
@@ -37,18 +39,28 @@
  * @returns takes the next chunk; throws RangeError on a message that is longer
  */
 export function createEnvelopeReader (maxBytes: number, onEnvelope: EnvelopeListener): (chunk: Buffer) => void {
-  let rest: Buffer = Buffer.alloc(0)
+  const rest = createByteCollector()
   return (chunk) => {
-    rest = rest.byteLength === 0 ? chunk : Buffer.concat([rest, chunk])
-    let offset = 0
-    while (rest.byteLength - offset >= HEAD_BYTES) {
-      const length = rest.readUInt32BE(offset + LENGTH_OFFSET)
-      if (length > maxBytes) throw new RangeError(`message of ${length} bytes`)
-      const end = offset + HEAD_BYTES + length
-      if (end > rest.byteLength) break
-      onEnvelope(rest[offset], rest.subarray(offset + HEAD_BYTES, end))
-      offset = end
-    }
-    rest = rest.subarray(offset)
+    const isContinued = rest.length() > 0
+    if (isContinued) rest.append(chunk)
+    const bytes = isContinued ? rest.peek() : chunk
+    const offset = readEnvelopes(bytes, maxBytes, onEnvelope)
+    if (isContinued && offset === 0) return
+    if (isContinued) rest.take()
+    if (offset < bytes.byteLength) rest.append(bytes.subarray(offset))
+  }
+}
+
+// Returns where the first incomplete envelope begins.
+function readEnvelopes (bytes: Buffer, maxBytes: number, onEnvelope: EnvelopeListener): number {
+  let offset = 0
+  while (bytes.byteLength - offset >= HEAD_BYTES) {
+    const length = bytes.readUInt32BE(offset + LENGTH_OFFSET)
+    if (length > maxBytes) throw new RangeError(`message of ${length} bytes`)
+    const end = offset + HEAD_BYTES + length
+    if (end > bytes.byteLength) break
+    onEnvelope(bytes[offset], bytes.subarray(offset + HEAD_BYTES, end))
+    offset = end
   }
+  return offset
 }
--- a/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeUnaryClient.ts
@@ -9,6 +9,7 @@
 import type { DescMessage, DescMethodUnary, MessageInitShape, MessageShape } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
 import type { Http2SessionManager } from '@connectrpc/connect-node'
+import { createByteCollector } from 'bendfall-platform'
 import { scheduleTimeout, systemClock } from '../runtime/index.js'
 import { joinSender, splitSender } from './BendfallNodeSenderHeaders.js'
 import { MAX_UNARY_BYTES, methodPath, UNARY_CONTENT_TYPE } from './BendfallNodeUnaryServer.js'
@@ -83,8 +84,7 @@
 
 function exchange (stream: ClientHttp2Stream, session: Http2SessionManager): Promise<WholeAnswer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = []
-    let received = 0
+    const received = createByteCollector()
     let isWhole = false
     let head: ResponseHead = {}
     const fail = (cause: Error): void => reject(isRefused(stream) ? new NotProcessedError('stream refused', { cause }) : cause)
@@ -92,12 +92,11 @@
     stream.once('response', (headers) => { head = headers })
     stream.on('data', (chunk: Buffer) => {
       session.notifyResponseByteRead(stream)
-      received += chunk.byteLength
-      if (received > MAX_UNARY_BYTES) stream.close(constants.NGHTTP2_ENHANCE_YOUR_CALM)
-      else chunks.push(chunk)
+      if (received.length() + chunk.byteLength > MAX_UNARY_BYTES) stream.close(constants.NGHTTP2_ENHANCE_YOUR_CALM)
+      else received.append(chunk)
     })
     stream.once('end', () => {
-      const body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)
+      const body = received.take()
       isWhole = head[':status'] === constants.HTTP_STATUS_OK && hasAnnouncedLength(head, body)
       if (isWhole) resolve({ head, body })
       else fail(new ConnectError(`status ${head[':status'] ?? 'none'} ${body.toString()}`, Code.Unavailable))
--- a/packages/bendfall-node/src/transport/BendfallNodeUnaryServer.ts
+++ b/packages/bendfall-node/src/transport/BendfallNodeUnaryServer.ts
@@ -9,6 +9,7 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import type { DescMessage, DescMethodUnary, MessageInitShape, MessageShape } from '@bufbuild/protobuf'
 import { Code, ConnectError } from '@connectrpc/connect'
+import { createByteCollector } from 'bendfall-platform'
 import type { Teardown } from '../runtime/BendfallNodeTeardown.js'
 import type { StreamRoutes } from './BendfallNodePeerListener.js'
 import { joinSender, splitSender } from './BendfallNodeSenderHeaders.js'
@@ -66,15 +67,13 @@
 // that is cut decodes as one whose later fields are absent: a booking without an id was made
 // of each call that was given up before its connection was open.
 function readBody (stream: ServerHttp2Stream, headers: IncomingHttpHeaders, onBody: (body: Buffer) => void): void {
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const received = createByteCollector()
   stream.on('data', (chunk: Buffer) => {
-    bytes += chunk.byteLength
-    if (bytes > MAX_UNARY_BYTES) stream.close(constants.NGHTTP2_ENHANCE_YOUR_CALM)
-    else chunks.push(chunk)
+    if (received.length() + chunk.byteLength > MAX_UNARY_BYTES) stream.close(constants.NGHTTP2_ENHANCE_YOUR_CALM)
+    else received.append(chunk)
   })
   stream.once('end', () => {
-    if (isOpen(stream) && isWhole(headers, bytes)) onBody(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
+    if (isOpen(stream) && isWhole(headers, received.length())) onBody(received.take())
   })
 }
 
@@ -86,7 +85,7 @@
 // Peers of former versions announce no length.
 function isWhole (headers: IncomingHttpHeaders, bytes: number): boolean {
   const announced = headers['content-length']
-  return bytes <= MAX_UNARY_BYTES && (announced === undefined || Number(announced) === bytes)
+  return announced === undefined || Number(announced) === bytes
 }
 
 async function answer<I extends DescMessage, O extends DescMessage> (stream: ServerHttp2Stream, method: DescMethodUnary<I, O>, body: Buffer, handle: (request: MessageShape<I>) => MessageInitShape<O> | Promise<MessageInitShape<O>>): Promise<void> {
--- a/packages/bendfall-platform/src/BendfallPlatformHttpReaders.ts
+++ b/packages/bendfall-platform/src/BendfallPlatformHttpReaders.ts
@@ -52,16 +52,26 @@
  */
 export function createLineReader (maxLineBytes: number, onLine: (line: string) => void): ResponseReader<number> {
   const sizeLimit = createSizeLimit(maxLineBytes)
-  let remainder: Buffer = Buffer.alloc(0)
+  const remainder = createByteCollector()
   let head = 0
+
+  // The remainder contains no line break, so that only the chunk is scanned for one.
+  function handleChunk (chunk: Buffer): void {
+    const firstEnd = chunk.indexOf(NEWLINE_BYTE)
+    if (firstEnd === -1) return remainder.append(chunk)
+    remainder.append(chunk.subarray(0, firstEnd))
+    onLine(remainder.take().toString('utf8'))
+    remainder.append(emitLines(chunk.subarray(firstEnd + 1), onLine))
+  }
+
   return {
     onHead: (status) => { head = status },
     onChunk: (chunk) => {
-      remainder = emitLines(remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]), onLine)
-      sizeLimit.check(remainder.length)
+      handleChunk(chunk)
+      sizeLimit.check(remainder.length())
     },
     end: () => {
-      if (remainder.length > 0) onLine(remainder.toString('utf8'))
+      if (remainder.length() > 0) onLine(remainder.take().toString('utf8'))
       return head
     },
     isTooLarge: sizeLimit.isExceeded
