End a prefill whose response exceeds its limit

Callers saw: a request waited for the timeout of its prefill while the replica sent bytes that no result has.

Cause: what exceeded the limit was dropped, but read on.

--- a/packages/bendfall-edge/src/replica/BendfallEdgePrefillListener.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgePrefillListener.ts
@@ -17,9 +17,10 @@
  *
  * @param dialect - decoder of the result
  * @param onResult - called once with the outcome
+ * @param abort - closes the connection; called if the response exceeds its size limit
  * @returns the listener
  */
-export function createPrefillListener (dialect: ReplicaDialect, onResult: (outcome: PrefillOutcome) => void): IdentifiedListener {
+export function createPrefillListener (dialect: ReplicaDialect, onResult: (outcome: PrefillOutcome) => void, abort: () => void): IdentifiedListener {
   const body = createByteCollector()
   let status = 0
   let head: ResponseHead | undefined
@@ -29,7 +30,9 @@
       head = responseHead
     },
     onChunk: (chunk) => {
-      if (body.length() + chunk.length <= MAX_PREFILL_RESPONSE_BYTES) body.append(chunk)
+      if (body.length() + chunk.length <= MAX_PREFILL_RESPONSE_BYTES) return body.append(chunk)
+      abort()
+      onResult({ type: 'failed', failure: 'unknown' })
     },
     onEnd: () => {
       if (status === 200) {
--- a/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
+++ b/packages/bendfall-edge/src/replica/BendfallEdgeSends.ts
@@ -102,7 +102,7 @@
     const listener = createPrefillListener(dialect, (outcome) => {
       sends.get(key)?.cancelTimeout()
       loop.dispatch({ type: 'prefill_answered', key, attempt, outcome })
-    })
+    }, () => sends.get(key)?.call.abort())
     start(effect, (deadlineMs) => dialect.prefillHeaders({ ...effect, deadlineMs }), listener)
   }
 
