Keep a record of the software of resumable streams that outlives the entries

Cause: an entry that has just started can't tell what served before, and refuses.

Change: the store keeps which software may have begun the streams of each route. Only one that has watched the route for as long as streams last creates the record or removes a version. Where record and registrations name one version, an unknown origin is that one. A suspension of the machine counts as a gap in what an entry has watched.

--- a/packages/bendfall-edge/src/origins/BendfallEdgeOrigins.ts
+++ b/packages/bendfall-edge/src/origins/BendfallEdgeOrigins.ts
@@ -1,7 +1,8 @@
 /**
  * Handles the effects that write the origin of a stream to other processes and ask them for it, and
  * serves such calls. Each origin is kept by one sidecar and one entry besides the one that relays the
- * stream, so that it survives either kind of process.
+ * stream, so that it survives either kind of process. What survives the loss of both is a record of the software that may
+ * have begun any stream.
  *
  * @module
  */
@@ -17,6 +18,7 @@
 import { registerEntry } from './BendfallEdgeEntryRegistration.js'
 import { createEntryList } from './BendfallEdgeEntryList.js'
 import { serveOrigins } from './BendfallEdgeOriginServer.js'
+import { registerResumableRecord } from './BendfallEdgeResumableRecord.js'
 
 /** Options of the origins. */
 export interface OriginOptions {
@@ -68,6 +70,7 @@
   const silentAtMs = new Map<string, number>()
   const entryList = createEntryList(logger)
   const registration = registerEntry({ ...options, clock })
+  const resumable = registerResumableRecord(options)
 
   function sessionOf (address: string): AnsweringSessionManager {
     const session = sessions.get(address) ?? createPeerSession(address)
@@ -152,11 +155,12 @@
     applyUpdate: (documents, removedKeys) => {
       if (entryList.applyUpdate(documents, removedKeys)) setHolders(entries, new Map(entryList.addresses().map((address) => [address, true])))
       if (removedKeys.includes(registration.key)) registration.renew()
+      resumable.applyUpdate(documents, removedKeys)
     },
     setReplicas: (replicas) => {
       setHolders(sidecars, new Map(replicas.map(({ address, isDraining }) => [`${address.slice(0, address.lastIndexOf(':'))}:${sidecarPort}`, !isDraining])))
     },
     resign: registration.close,
-    close: combineTeardowns([unregister, registration.close, () => { for (const session of sessions.values()) session.abort() }])
+    close: combineTeardowns([unregister, registration.close, resumable.close, () => { for (const session of sessions.values()) session.abort() }])
   }
 }
--- /dev/null
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsRecorded.test.ts
@@ -0,0 +1,49 @@
+// Guards against streams that are lost after a power cut of all entries and sidecars, the only processes that remember
+// which version began a stream: the record in the store lets entries tell while one version alone may have begun it.
+import { setTimeout as sleep } from 'node:timers/promises'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { assertNotMixed } from './VersionAssertions.js'
+import { replaceAndKillEntries, runCallers, withVersionFleet } from './VersionHarness.js'
+
+const ALL_ENTRIES = [0, 1, 2]
+
+/** Entries create the record once they have watched for as long as streams can be resumed, which is 20 s here. */
+const MAX_WATCH_MS = 60_000
+const POLL_MS = 200
+const RECORD_KEY = 'bendfall/streams/resumable-software'
+const ONE_VERSION = /"software":\[\d+\]/
+const RUN_MS = 1_000
+const DOWN_MS = 300
+const SETTLE_MS = 2_500
+
+/** Lowest share of resumed streams that go on, relative to the share of new streams that begin. */
+const MIN_GOES_ON = 0.5
+
+test('streams go on after a power cut, and none is joined from two versions when a release follows', () => withVersionFleet({}, async (fleet) => {
+  await Promise.all(fleet.replicas().filter(({ softwareVersion }) => softwareVersion !== 'v1').map(({ leave }) => leave()))
+  for (let waitedMs = 0; !ONE_VERSION.test(fleet.readStore(RECORD_KEY) ?? '') && waitedMs < MAX_WATCH_MS; waitedMs += POLL_MS) await sleep(POLL_MS)
+  assert.match(fleet.readStore(RECORD_KEY) ?? '', ONE_VERSION)
+
+  let isOver = false
+  const cutOff = runCallers(fleet, () => isOver, { namesFirstRequest: false })
+  await sleep(RUN_MS)
+  await fleet.killEntries(ALL_ENTRIES, DOWN_MS)
+  await sleep(SETTLE_MS)
+  isOver = true
+  const whileAlone = await cutOff
+  assertNotMixed(whileAlone)
+  assert.ok(whileAlone.goesOn >= MIN_GOES_ON, `${whileAlone.goesOn.toFixed(3)} of ${whileAlone.resumed} go on; refused or cut: ${fleet.refusalReasons()}`)
+
+  isOver = false
+  const replaced = runCallers(fleet, () => isOver, { namesFirstRequest: false })
+  for (const softwareVersion of ['v2', 'v3']) {
+    await sleep(RUN_MS)
+    await replaceAndKillEntries(fleet, softwareVersion)
+  }
+  await sleep(SETTLE_MS)
+  isOver = true
+  assertNotMixed(await replaced)
+}))
+
+test.run()
--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsReplaced.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsReplaced.test.ts
@@ -3,31 +3,12 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { test } from 'uvu'
 import { assertNotMixed } from './VersionAssertions.js'
-import { runCallers, withVersionFleet } from './VersionHarness.js'
-import type { VersionFleet } from './VersionHarness.js'
+import { replaceAndKillEntries, runCallers, withVersionFleet } from './VersionHarness.js'
 
-const ALL_ENTRIES = [0, 1, 2]
 const SETTLE_MS = 1_500
 const RUN_MS = 1_000
 const ROUNDS = 2
 
-const STAGES = ['decode', 'decode', 'prefill'] as const
-
-/** Time between the replacement and the kill, in which streams of the former version still run. */
-const KILL_DELAY_MS = 50
-
-/** Longer than replaced replicas take to leave. */
-const DOWN_MS = 1_000
-
-/** Replaces all replicas by those of another version and kills all entries before the streams of the former ones end. */
-async function replaceAndKill (fleet: VersionFleet, softwareVersion: string): Promise<void> {
-  const previous = fleet.replicas()
-  for (const stage of STAGES) await fleet.addReplica(stage, softwareVersion)
-  const left = Promise.all(previous.map(({ leave }) => leave()))
-  await sleep(KILL_DELAY_MS)
-  await Promise.all([fleet.killEntries(ALL_ENTRIES, DOWN_MS), left])
-}
-
 const NAMES_FIRST_REQUEST: Readonly<Record<string, boolean>> = {
   'streams of callers that name their first request are not joined from two versions after a power cut': true,
   'streams of callers that do not name their first request are not joined from two versions after a power cut': false
@@ -41,7 +22,7 @@
     const calls = runCallers(fleet, () => isOver, { namesFirstRequest })
     for (let round = 1; round <= ROUNDS; round += 1) {
       await sleep(RUN_MS)
-      await replaceAndKill(fleet, `v${round + 1}`)
+      await replaceAndKillEntries(fleet, `v${round + 1}`)
     }
     await sleep(SETTLE_MS)
     isOver = true
--- a/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
@@ -39,6 +39,12 @@
 const MIN_RECEIVING = 8
 const RECEIVING_CHECK_MS = 10
 
+/** Time between a replacement and the kill of all entries, in which streams of the former version still run. */
+const KILL_DELAY_MS = 50
+
+/** Longer than replaced replicas take to leave. */
+const REPLACED_DOWN_MS = 1_000
+
 const CONFIG = createFleetConfig({ host: VERSION_HOST, timeoutMs: 5_000, handleTtlS: 0.5, maxBodyBytes: 100_000 })
 
 /** Options of the fleet. */
@@ -67,6 +73,8 @@
   readonly addReplica: (stage: 'prefill' | 'decode', softwareVersion: string) => Promise<void>
   /** Returns why the entries ended resumed streams without a replica's response, with counts. */
   readonly refusalReasons: () => string
+  /** Returns the value of a key in the store. */
+  readonly readStore: (key: string) => string | undefined
   /** Kills the processes of entries and starts them again, by default at once. */
   readonly killEntries: (indexes: readonly number[], downMs?: number) => Promise<void>
 }
@@ -161,6 +169,7 @@
     entries: settings.map(({ callersListen }) => callersListen as string),
     replicas: () => [...running],
     addReplica,
+    readStore: (key) => (stores[0] as FleetStore).documents().find((document) => document.key === key)?.value,
     refusalReasons: () => countReasons(entries.flatMap(({ lines }) => lines)),
     killEntries: async (indexes, downMs = 0) => {
       await Promise.all(indexes.map(async (index) => {
@@ -245,6 +254,20 @@
   return await calls
 }
 
+/**
+ * Replaces all replicas by those of another version, and kills all entries before the streams of the former ones end.
+ *
+ * @param fleet - fleet to change
+ * @param softwareVersion - version of the new replicas
+ */
+export async function replaceAndKillEntries (fleet: VersionFleet, softwareVersion: string): Promise<void> {
+  const previous = fleet.replicas()
+  for (const stage of ['decode', 'decode', 'prefill'] as const) await fleet.addReplica(stage, softwareVersion)
+  const left = Promise.all(previous.map(({ leave }) => leave()))
+  await sleep(KILL_DELAY_MS)
+  await Promise.all([fleet.killEntries(fleet.entries.map((_, index) => index), REPLACED_DOWN_MS), left])
+}
+
 function countResumed (streams: readonly CallerStream[]): number {
   return streams.filter(({ isResumed }) => isResumed).length
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEffects.ts
@@ -7,6 +7,7 @@
 import type { PermitRequest } from '../limits/BendfallRouterPermitLeader.js'
 import type { AllotmentRole } from '../allotments/BendfallRouterAllotmentLeader.js'
 import type { ReplicaStage } from '../BendfallRouterTypes.js'
+import type { ResumableSoftware } from '../streams/BendfallRouterResumableSoftware.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 
 /** Why a request ended without a replica's response. */
@@ -37,6 +38,8 @@
   | { readonly type: 'find_origin', readonly key: string, readonly attempt: number, readonly requestId: string }
   /** Has other processes remember which software began a stream; nothing waits for the answers. */
   | { readonly type: 'record_origin', readonly requestId: string, readonly software: SoftwareDigest }
+  /** Writes which software may have begun the streams that callers can still resume, for entries that start later. */
+  | { readonly type: 'record_resumable_software', readonly software: ResumableSoftware }
   /** Takes units of a customer's allotment from the leader that has the given role. */
   | { readonly type: 'take_units', readonly key: string, readonly attempt: number, readonly role: AllotmentRole, readonly customer: string, readonly units: number, readonly isLate: boolean }
   /** Requests permits from the permit leader after a delay. */
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -7,6 +7,7 @@
 import type { AllotmentRole, UnitsOutcome } from '../allotments/BendfallRouterAllotmentLeader.js'
 import type { NamedLimit, PermitRequest, PermitOutcome } from '../limits/BendfallRouterPermitLeader.js'
 import type { ReplicaNotice } from '../notices/BendfallRouterNotices.js'
+import type { ResumableSoftware } from '../streams/BendfallRouterResumableSoftware.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 import type { Prompt, Replica, ReplicaLoad, RouterConfig } from '../BendfallRouterTypes.js'
 
@@ -136,6 +137,8 @@
   | { readonly type: 'replica_spoke', readonly replicaId: string, readonly notice: ReplicaNotice, readonly sentAtMs?: number, readonly isFormerProcess?: boolean }
   /** Nothing listens at the address of a replica. */
   | { readonly type: 'connection_refused', readonly address: string }
+  /** The record of resumable software was read, or has been removed. */
+  | { readonly type: 'resumable_software_learned', readonly software?: ResumableSoftware }
   /** Limits that other entries have learned of. */
   | { readonly type: 'limits_learned', readonly limits: readonly NamedLimit[] }
   /** Answer of the permit leader, or its absence. */
--- a/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
@@ -5,16 +5,17 @@
  *
  * @module
  */
-import { onlySeenSoftware, soleSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
 import { findOrigin, UNKNOWN_SOFTWARE } from '../streams/BendfallRouterStreamOrigins.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 import { startAllotment } from './BendfallRouterAllotment.js'
 import type { NextStep, RouterContext } from './BendfallRouterContext.js'
 import { logDecision } from './BendfallRouterContext.js'
 import type { OriginOutcome } from './BendfallRouterEvents.js'
+import type { Route } from '../BendfallRouterTypes.js'
 import { canRunOn } from './BendfallRouterEligibility.js'
 import type { RequestState } from './BendfallRouterRequest.js'
 import { stageOf } from './BendfallRouterReplicaHealth.js'
+import { isRouteUnchanged, possibleSoftware, resumableMs, seenOnRoute } from './BendfallRouterResumableRoutes.js'
 import type { RouterState } from './BendfallRouterState.js'
 
 /** `Retry-After` while a process that may know the origin does not answer. */
@@ -23,12 +24,6 @@
 /** `Retry-After` while no replica with the software can decode, or its process has not registered. */
 const NO_REPLICA_RETRY_MS = 1_000
 
-/** Lower bound of the time from the begin of a stream until its caller gives up. */
-const MIN_RESUMABLE_MS = 20_000
-
-/** The same as a multiple of the route's timeout. */
-const RESUMABLE_TIMEOUT_FACTOR = 2
-
 /**
  * Checks whether a request continues a stream that began in an earlier request.
  *
@@ -84,9 +79,9 @@
 }
 
 /**
- * Infers the software from the registrations: if one version alone has served the service for longer
- * than a stream can last, it began the stream. The registrations must be at least as recent as the
- * request, since another entry may have learned of a new version earlier.
+ * Infers the software from the registrations and the record of resumable software: if one version alone
+ * has served the route for longer than a stream can last, it began the stream. Both must be at least as
+ * recent as the request, since another entry may have learned of a new version earlier.
  *
  * @param context - state, time and effects of the current event
  * @param request - request that resumes a stream of unknown origin
@@ -105,19 +100,19 @@
   return undefined
 }
 
-// The earliest begin of a stream whose caller still waits until the deadline.
-function beginsAfterMs ({ deadlineAtMs, route }: RequestState): number {
-  return deadlineAtMs - Math.max(MIN_RESUMABLE_MS, RESUMABLE_TIMEOUT_FACTOR * route.timeoutMs)
+function findSoleSoftware ({ state }: RouterContext, request: RequestState): SoftwareDigest | undefined {
+  const { deadlineAtMs, resumedRequestId, route } = request
+  // The earliest begin of a stream whose caller still waits until the deadline.
+  const sinceMs = deadlineAtMs - resumableMs(route)
+  const [sole, ...others] = possibleSoftware(state, route, sinceMs) ?? (resumedRequestId === undefined ? assumeSoftware(state, route, sinceMs) : [])
+  return others.length === 0 ? sole : undefined
 }
 
-function findSoleSoftware (context: RouterContext, request: RequestState): SoftwareDigest | undefined {
-  const { state } = context
-  const { route, service } = request
-  const sinceMs = beginsAfterMs(request)
-  const isRouteUnchanged = (state.routedSinceMs.get(route.name)?.sinceMs ?? Infinity) <= sinceMs
-  if (route.services.length !== 1 || !isRouteUnchanged) return undefined
-  // Nobody else can tell the origin of a stream whose first request isn't named.
-  return request.resumedRequestId === undefined ? onlySeenSoftware(state.softwareHistory, service, sinceMs) : soleSoftware(state.softwareHistory, service, sinceMs)
+// Nobody can be asked about a stream whose first request isn't named. While the key-value service is down no entry learns
+// of another version, so that gaps don't matter; what was before the process had started does.
+function assumeSoftware (state: RouterState, route: Route, sinceMs: number): readonly SoftwareDigest[] {
+  const isOldEnough = state.softwareHistory.beganAtMs <= sinceMs && isRouteUnchanged(state, route, sinceMs)
+  return isOldEnough ? seenOnRoute(state, route, sinceMs) : []
 }
 
 function refuseUnknownOrigin ({ silentOriginHolders = 0 }: RequestState): NextStep {
--- a/packages/bendfall-router/src/entry/BendfallRouterPause.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterPause.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import { dropPermits } from '../limits/BendfallRouterReplicaLimits.js'
+import { interruptHistory } from '../streams/BendfallRouterSoftwareHistory.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { ParkedStep, RequestState } from './BendfallRouterRequest.js'
 import type { RouterState } from './BendfallRouterState.js'
@@ -30,7 +31,10 @@
   state.configVerifiedAtMs -= suspendedMs
   if (gapMs === Infinity || gapMs <= MIN_PAUSE_MS) return
   state.isRefreshPending = true
-  if (suspendedMs > 0) expireLoadsAndPermits(state)
+  if (suspendedMs > 0) {
+    expireLoadsAndPermits(state)
+    interruptHistory(state.softwareHistory)
+  }
   effects.push({ type: 'refresh_replicas' })
   effects.push({ type: 'log', decision: 'stood_still', requestId: '', inputs: { gapMs: Math.round(gapMs), suspendedMs: Math.round(suspendedMs), requests: state.requests.size } })
 }
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -37,6 +37,7 @@
 import type { RouterConfig } from '../BendfallRouterTypes.js'
 import { recordQuery } from './BendfallRouterLoads.js'
 import { detectPause, park, unpark } from './BendfallRouterPause.js'
+import { reviewResumableSoftware, scheduleReview } from './BendfallRouterResumableRoutes.js'
 import { recordOverdueCalls, recordUnanswered } from './BendfallRouterStalls.js'
 import { confirmHistory } from '../streams/BendfallRouterSoftwareHistory.js'
 import { bindSoftware } from './BendfallRouterStreamBinding.js'
@@ -166,15 +167,20 @@
   },
   replicas_changed: (context, event) => {
     for (const replicaId of event.gone) handleRegistrationRemoved(context, replicaId)
-    for (const replica of event.present) learnReplica(context, replica)
+    for (const replica of event.present) {
+      scheduleReview(context, replica)
+      learnReplica(context, replica)
+    }
     updateSubset(context.state)
   },
+  resumable_software_learned: ({ state }, { software }) => { state.resumableSoftware = software },
   request_arrived: (context, event) => handleArrival(context, event.arrival),
   reserve_answered: (context, event) => inPhase(context, event, 'reserve', (request) => handleReserveAnswer(context, request, event.outcome)),
   run_failed: (context, event) => withAttempt(context, event, (request) =>
     request.phase === 'plain' ? handlePlainFailure(context, request, event.failure) : handleRunFailure(context, request, event)),
   stop_asked: (context, event) => { context.state.stop = { askedAtMs: event.atMs, killAtMs: event.atMs + event.graceMs } },
   time_passed: (context) => {
+    reviewResumableSoftware(context)
     recordOverdueCalls(context)
     for (const request of requestsInOvertime(context)) advance(context, request, handlePlainTimeout(context, request))
     forgetOldLimits(context)
--- a/packages/bendfall-router/src/entry/BendfallRouterState.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterState.ts
@@ -14,6 +14,7 @@
 import type { ReplicaNotices } from '../notices/BendfallRouterNotices.js'
 import type { PoolWork } from '../pools/BendfallRouterPoolBalance.js'
 import type { PoolIntent } from '../pools/BendfallRouterPoolIntent.js'
+import type { ResumableSoftware } from '../streams/BendfallRouterResumableSoftware.js'
 import { createSoftwareHistory } from '../streams/BendfallRouterSoftwareHistory.js'
 import type { SoftwareHistory } from '../streams/BendfallRouterSoftwareHistory.js'
 import { createStreamOrigins } from '../streams/BendfallRouterStreamOrigins.js'
@@ -177,6 +178,10 @@
   readonly softwareHistory: SoftwareHistory
   /** Which software began the streams that this process or one that asked it has relayed. */
   readonly origins: StreamOrigins
+  /** Record of the software that may have begun the streams which callers can still resume; absent where there is none. */
+  resumableSoftware?: ResumableSoftware
+  /** When that record is to be compared with what this entry knows. */
+  resumableReviewAtMs: number
   /** Since when the services of each route are unchanged, by name of the route. */
   routedSinceMs: Map<string, RoutedSince>
   /** Whether a replica was added or removed, started to drain or changed its pool since the subset was chosen. */
@@ -269,6 +274,7 @@
     usedBySoftware: new Map(),
     softwareHistory: createSoftwareHistory(),
     origins: createStreamOrigins(-Infinity),
+    resumableReviewAtMs: -Infinity,
     routedSinceMs: new Map(),
     isSubsetStale: false,
     requests: new Map(),
--- a/packages/bendfall-router/src/streams/BendfallRouterSoftwareHistory.ts
+++ b/packages/bendfall-router/src/streams/BendfallRouterSoftwareHistory.ts
@@ -1,6 +1,5 @@
 /**
- * Watches which software versions serve each service, to tell whether one version alone has served
- * it for a time.
+ * Watches which software versions serve each service, to tell which ones may have begun a stream.
  *
  * @module
  */
@@ -60,28 +59,47 @@
 }
 
 /**
- * Returns the software that alone served a service for a time.
+ * Records that the process may have missed any changes up to now, for example while its machine was suspended.
+ *
+ * @param history - changed in place
+ */
+export function interruptHistory (history: SoftwareHistory): void {
+  history.completeSinceMs = Infinity
+  history.confirmedAtMs = -Infinity
+}
+
+/**
+ * Returns whether this process knows all changes of registrations since a time.
  *
  * @param history - observations of this process
- * @param service - name of the service
  * @param sinceMs - start of the time, up to now
- * @returns the software; undefined if there were several, or the time was not observed completely
+ * @returns false if it was started later or has missed a part
  */
-export function soleSoftware (history: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
-  return history.completeSinceMs > sinceMs ? undefined : onlySeenSoftware(history, service, sinceMs)
+export function isHistoryComplete ({ completeSinceMs }: SoftwareHistory, sinceMs: number): boolean {
+  return completeSinceMs <= sinceMs
 }
 
 /**
- * Returns the only software of a service that this process has seen in a time. While the key-value service is down no
- * entry learns of another one, so that gaps don't matter here; what was before the process had started does.
+ * Returns the software of a service that this process has seen in a time, of which it may have missed a part.
  *
  * @param history - observations of this process
  * @param service - name of the service
  * @param sinceMs - start of the time, up to now
- * @returns the software; undefined if there were several or none, or the process was started later
+ * @returns the software, in any order
+ */
+export function seenSoftware ({ services }: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest[] {
+  const uses = [...services.get(service) ?? []]
+  return uses.filter(([, { lastSeenAtMs, replicas }]) => replicas > 0 || lastSeenAtMs >= sinceMs).map(([software]) => software)
+}
+
+/**
+ * Returns whether a service has replicas with a software.
+ *
+ * @param history - observations of this process
+ * @param service - name of the service
+ * @param software - software to look for
+ * @returns true if at least one is registered
  */
-export function onlySeenSoftware ({ beganAtMs, services }: SoftwareHistory, service: string, sinceMs: number): SoftwareDigest | undefined {
-  if (beganAtMs > sinceMs) return undefined
-  const recent = [...services.get(service) ?? []].filter(([, { lastSeenAtMs, replicas }]) => replicas > 0 || lastSeenAtMs >= sinceMs)
-  return recent.length === 1 ? recent[0]?.[0] : undefined
+export function isSoftwareInUse ({ services }: SoftwareHistory, service: string, software: SoftwareDigest): boolean {
+  return (services.get(service)?.get(software)?.replicas ?? 0) > 0
 }
