Leave the random numbers of an entry to its other decisions

Cause: the delay of a review of the record of resumable software was drawn from the numbers that all decisions share, which shifted the plays of seeded tests.

Change: the delay is computed from the instance and the version.

--- a/packages/bendfall-router/src/entry/BendfallRouterResumableRoutes.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterResumableRoutes.ts
@@ -4,13 +4,13 @@
  *
  * @module
  */
+import { rendezvousScore } from 'bendfall-core'
 import { isHistoryComplete, isSoftwareInUse, seenSoftware } from '../streams/BendfallRouterSoftwareHistory.js'
 import { isSameRecord, joinSoftware } from '../streams/BendfallRouterResumableSoftware.js'
 import type { ResumableSoftware } from '../streams/BendfallRouterResumableSoftware.js'
 import { digestSoftware } from '../streams/BendfallRouterStreamOrigins.js'
 import type { SoftwareDigest } from '../streams/BendfallRouterStreamOrigins.js'
 import type { Replica, Route } from '../BendfallRouterTypes.js'
-import { draw } from './BendfallRouterContext.js'
 import type { RouterContext } from './BendfallRouterContext.js'
 import type { RouterState } from './BendfallRouterState.js'
 
@@ -85,8 +85,10 @@
  * @param replica - registration that has not been applied yet
  */
 export function scheduleReview ({ nowMs, state }: RouterContext, replica: Replica): void {
-  if (isSoftwareInUse(state.softwareHistory, replica.service, digestSoftware(replica))) return
-  state.resumableReviewAtMs = Math.min(state.resumableReviewAtMs, nowMs + draw(state) * MAX_REVIEW_DELAY_MS)
+  const digest = digestSoftware(replica)
+  if (isSoftwareInUse(state.softwareHistory, replica.service, digest)) return
+  const delayMs = rendezvousScore(digest, state.instanceId) * MAX_REVIEW_DELAY_MS
+  state.resumableReviewAtMs = Math.min(state.resumableReviewAtMs, nowMs + delayMs)
 }
 
 /**
