Let the resolution of the wall clock not make a read older than its request

Callers saw: resumed streams of unknown origin were refused at random (503, origin_unknown), though one version alone had served.

Cause: a read proves the registrations as of its request, whose age is taken from the monotonic or the wall clock, whichever is larger. The wall clock is read in whole milliseconds, so that the age came out up to 1 ms too large, and the read seemed older than the request that had asked for it.

Change: the wall clock counts where it is ahead by more than its resolution.

Tests: BendfallEdgeFollow, a new test fails before (proven as of 0.1 ms for a request at 0.9 ms), 15 of 15 pass; the suspension's age is exact as before.

--- a/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
+++ b/packages/bendfall-edge/src/__tests__/unit/BendfallEdgeFollow.test.ts
@@ -7,7 +7,7 @@
 const entry = (key: string): KeyValueEntry => ({ key, value: 'v', revision: 1, leaseId: '' })
 
 /** Creates a follower in virtual time with a key-value service that responds from a script. */
-function createHarness (script: { readonly lists: ListOutcome[], readonly watches: Array<{ readonly afterMs: number, readonly outcome: WatchOutcome }>, readonly asked?: Array<{ readonly waitMs: number, readonly slackMs: number }>, readonly hasEras?: boolean }): {
+function createHarness (script: { readonly lists: ListOutcome[], readonly watches: Array<{ readonly afterMs: number, readonly outcome: WatchOutcome }>, readonly asked?: Array<{ readonly waitMs: number, readonly slackMs: number }>, readonly hasEras?: boolean, readonly startedAtMs?: number, readonly responseMs?: number }): {
   readonly beginEra: () => void
   readonly notifications: string[]
   /** Times up to which the follower reported all changes as known. */
@@ -17,13 +17,13 @@
   readonly run: (untilMs: number) => Promise<void>
   readonly close: () => void
 } {
-  let nowMs = 0
+  let nowMs = script.startedAtMs ?? 0
   let suspendedMs = 0
   const provenTimes: Array<number | undefined> = []
   const timers: Array<{ readonly atMs: number, readonly callback: () => void }> = []
   const clock: Clock = {
     nowMs: () => nowMs,
-    wallMs: () => nowMs + suspendedMs,
+    wallMs: () => Math.floor(nowMs + suspendedMs),
     callAt: (atMs, callback) => {
       const timer = { atMs, callback }
       timers.push(timer)
@@ -39,7 +39,7 @@
   }
   const port = {
     ...(script.hasEras === true ? { onEra } : {}),
-    list: () => delayed(4, script.lists.shift() ?? { type: 'unavailable' as const, detail: 'end of script' }),
+    list: () => delayed(script.responseMs ?? 4, script.lists.shift() ?? { type: 'unavailable' as const, detail: 'end of script' }),
     watch: (_prefix: string, _revision: number, waitMs: number, slackMs: number) => {
       script.asked?.push({ waitMs, slackMs })
       const next = script.watches.shift() ?? { afterMs: 100_000, outcome: { type: 'unavailable' as const, detail: 'end of script' } }
@@ -88,6 +88,17 @@
   })
 }
 
+// Guards against resumed streams that are refused at random: the wall clock, which is read in whole milliseconds, made a read
+// seem older than the request for which it was made.
+test('a response proves the state as of its request, wherever within a millisecond that was sent', async () => {
+  for (const startedAtMs of [0, 0.5, 0.9]) {
+    const harness = createHarness({ lists: [listed('a')], watches: [], startedAtMs, responseMs: 4.2 })
+    await harness.run(startedAtMs + 10)
+    assert.ok(Math.abs((harness.provenTimes[0] ?? NaN) - startedAtMs) < 1e-9, `${harness.provenTimes[0]} for ${startedAtMs}`)
+    harness.close()
+  }
+})
+
 test('a deleted entry is reported deleted at once while the service is healthy', async () => {
   const harness = createHarness({ lists: [listed('a', 'b')], watches: [{ afterMs: 10, outcome: deleted('a') }] })
   await harness.run(1_000)
--- a/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeFollow.ts
@@ -56,6 +56,8 @@
  */
 const BACKUP_EXPIRY_MS = 4_000
 
+const WALL_RESOLUTION_MS = 1
+
 /** Time of a request on the monotonic and the wall clock. */
 interface RequestTime {
   readonly atMs: number
@@ -134,10 +136,13 @@
     syncedAtMs = clock.nowMs()
   }
 
-  // Uses the larger age of both clocks, since the monotonic clock doesn't advance during a suspension.
+  // Uses the larger age of both clocks, since the monotonic clock doesn't advance during a suspension. Two readings of
+  // the wall clock may be further apart than the time between them, by its resolution.
   function provenAtMs (requestedAt: RequestTime): number | undefined {
     if (requestedAt.atMs < rewrittenByMs) return undefined
-    return clock.nowMs() - Math.max(clock.nowMs() - requestedAt.atMs, clock.wallMs() - requestedAt.wallMs)
+    const ageMs = clock.nowMs() - requestedAt.atMs
+    const wallAgeMs = clock.wallMs() - requestedAt.wallMs
+    return clock.nowMs() - (wallAgeMs - ageMs > WALL_RESOLUTION_MS ? wallAgeMs : ageMs)
   }
 
   function recordFailure (detail: string): void {
