Let streams of unknown origin wait for their own read of the registrations

Callers saw: of several streams that were resumed at the same moment, most were refused (503, origin_unknown), though one version alone had served.

Cause: each reads the registrations again, and the end of the first of these reads answered all of them. It was requested before the others had arrived, so that it proved nothing for them, and they were refused.

Change: the end of a read counts for the requests that had arrived before it.

Tests: BendfallRouterOrigin, a new test fails before, 19 of 19 pass.

--- a/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
+++ b/packages/bendfall-edge/src/directory/BendfallEdgeDirectory.ts
@@ -184,10 +184,11 @@
 
   // If the service doesn't respond in time, it is unavailable and requests proceed with the known replicas.
   async function refresh (): Promise<void> {
+    const requestedAtMs = loop.clock.nowMs()
     const timeoutController = new AbortController()
     await Promise.race([follower.refresh(), pause(loop.clock, REFRESH_TIMEOUT_MS, timeoutController.signal)])
     timeoutController.abort()
-    loop.dispatch({ type: 'replicas_refreshed' })
+    loop.dispatch({ type: 'replicas_refreshed', requestedAtMs })
   }
 
   return combineTeardowns([
--- a/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
+++ b/packages/bendfall-router/src/__tests__/unit/BendfallRouterOrigin.test.ts
@@ -118,6 +118,19 @@
   assert.is(only(simulation.send({ type: 'replicas_refreshed' }), 'reserve').type, 'reserve')
 })
 
+// Guards against resumed streams that are refused at random: the read for an earlier one ended while theirs was under way.
+test('a stream of unknown origin waits for a read of the registrations that was requested after it arrived', () => {
+  const simulation = createFleet([replicaOf('p1', 'prefill'), replicaOf('d1', 'decode'), replicaOf('d2', 'decode')])
+  watch(simulation)
+  const requestedAtMs = simulation.nowMs()
+  simulation.freeze(1)
+  answerOrigin(simulation, '1', { type: 'unknown', silentHolders: 0 })
+  simulation.send({ type: 'config_proven', provenAtMs: requestedAtMs })
+  assert.equal(typesOf(simulation.send({ type: 'replicas_refreshed', requestedAtMs })), [])
+  simulation.send({ type: 'config_proven', provenAtMs: simulation.nowMs() })
+  assert.is(only(simulation.send({ type: 'replicas_refreshed', requestedAtMs: simulation.nowMs() }), 'reserve').type, 'reserve')
+})
+
 test('a stream of unknown origin is refused while the registrations cannot be read', () => {
   const simulation = createFleet([replicaOf('p1', 'prefill'), replicaOf('d1', 'decode')])
   watch(simulation)
--- a/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterEvents.ts
@@ -101,8 +101,8 @@
   | { readonly type: 'replicas_missing', readonly replicaIds: readonly string[] }
   /** The key-value service answered: all changes of registrations up to now are known. */
   | { readonly type: 'replicas_current' }
-  /** The registrations were read again as requested, or could not be. */
-  | { readonly type: 'replicas_refreshed' }
+  /** The registrations were read again as requested at `requestedAtMs`, or could not be. */
+  | { readonly type: 'replicas_refreshed', readonly requestedAtMs?: number }
   | { readonly type: 'time_passed' }
   /** A call that waits for a place at a plain replica may start, or can no longer be served in time. */
   | { readonly type: 'plain_wake_due', readonly service: string }
--- a/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterOrigin.ts
@@ -72,10 +72,11 @@
  * Returns the requests that wait for the registrations to be read again to infer their origin.
  *
  * @param state - state of the entry
+ * @param requestedAtMs - when the read that has ended was requested; requests that arrived later wait for their own
  * @returns the requests
  */
-export function requestsToInfer ({ requests }: RouterState): RequestState[] {
-  return [...requests.values()].filter(({ isOriginRefreshed, phase }) => phase === 'origin' && isOriginRefreshed === true)
+export function requestsToInfer ({ requests }: RouterState, requestedAtMs: number): RequestState[] {
+  return [...requests.values()].filter(({ arrivedAtMs, isOriginRefreshed, phase }) => phase === 'origin' && isOriginRefreshed === true && arrivedAtMs <= requestedAtMs)
 }
 
 /**
--- a/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
+++ b/packages/bendfall-router/src/entry/BendfallRouterReducer.ts
@@ -160,10 +160,10 @@
     state.replicasCurrentAtMs = nowMs
     confirmHistory(state.softwareHistory, nowMs)
   },
-  replicas_refreshed: (context) => {
+  replicas_refreshed: (context, { requestedAtMs = context.nowMs }) => {
     for (const { request, step } of unpark(context)) advance(context, request, { type: step })
     for (const arrival of drainHeldArrivals(context.state)) handleArrival(context, arrival)
-    for (const request of requestsToInfer(context.state)) advance(context, request, inferOrigin(context, request))
+    for (const request of requestsToInfer(context.state, requestedAtMs)) advance(context, request, inferOrigin(context, request))
   },
   replicas_changed: (context, event) => {
     for (const replicaId of event.gone) handleRegistrationRemoved(context, replicaId)
