Go on with replacements and kills until enough streams were resumed

Cause: the callers give up after 5 s, and a killed entry takes as long to start beside that load, so that one kill may break off no stream that is resumed.

Change: both go on with their disturbance until 12 streams were resumed, as the tests of kills do; checks and bounds are unchanged.

--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsRecorded.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsRecorded.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { assertNotMixed } from './VersionAssertions.js'
-import { replaceAndKillEntries, runCallers, withVersionFleet } from './VersionHarness.js'
+import { replaceAndKillEntries, runCallersThrough, withVersionFleet } from './VersionHarness.js'
 
 const ALL_ENTRIES = [0, 1, 2]
 
@@ -14,8 +14,6 @@
 const RECORD_KEY = 'bendfall/streams/resumable-software'
 const ONE_VERSION = /"software":\[\d+\]/
 const RUN_MS = 1_000
-const DOWN_MS = 300
-const SETTLE_MS = 2_500
 
 /** Lowest share of resumed streams that go on, relative to the share of new streams that begin. */
 const MIN_GOES_ON = 0.5
@@ -25,25 +23,11 @@
   for (let waitedMs = 0; !ONE_VERSION.test(fleet.readStore(RECORD_KEY) ?? '') && waitedMs < MAX_WATCH_MS; waitedMs += POLL_MS) await sleep(POLL_MS)
   assert.match(fleet.readStore(RECORD_KEY) ?? '', ONE_VERSION)
 
-  let isOver = false
-  const cutOff = runCallers(fleet, () => isOver, { namesFirstRequest: false })
-  await sleep(RUN_MS)
-  await fleet.killEntries(ALL_ENTRIES, DOWN_MS)
-  await sleep(SETTLE_MS)
-  isOver = true
-  const whileAlone = await cutOff
+  const whileAlone = await runCallersThrough(fleet, { rounds: 1, pauseMs: RUN_MS, namesFirstRequest: false, disturb: () => fleet.killEntries(ALL_ENTRIES) })
   assertNotMixed(whileAlone)
   assert.ok(whileAlone.goesOn >= MIN_GOES_ON, `${whileAlone.goesOn.toFixed(3)} of ${whileAlone.resumed} go on; refused or cut: ${fleet.refusalReasons()}`)
 
-  isOver = false
-  const replaced = runCallers(fleet, () => isOver, { namesFirstRequest: false })
-  for (const softwareVersion of ['v2', 'v3']) {
-    await sleep(RUN_MS)
-    await replaceAndKillEntries(fleet, softwareVersion)
-  }
-  await sleep(SETTLE_MS)
-  isOver = true
-  assertNotMixed(await replaced)
+  assertNotMixed(await runCallersThrough(fleet, { rounds: 2, pauseMs: RUN_MS, namesFirstRequest: false, disturb: (round) => replaceAndKillEntries(fleet, `v${round + 2}`) }))
 }))
 
 test.run()
--- a/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsReplaced.test.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/BendfallFakesMixedVersionsReplaced.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { test } from 'uvu'
 import { assertNotMixed } from './VersionAssertions.js'
-import { replaceAndKillEntries, runCallers, withVersionFleet } from './VersionHarness.js'
+import { replaceAndKillEntries, runCallersThrough, withVersionFleet } from './VersionHarness.js'
 
 const SETTLE_MS = 1_500
 const RUN_MS = 1_000
@@ -18,15 +18,7 @@
   test(name, () => withVersionFleet({ hasSidecars: true }, async (fleet) => {
     await Promise.all(fleet.replicas().filter((replica) => replica.softwareVersion !== 'v1').map(({ leave }) => leave()))
     await sleep(SETTLE_MS)
-    let isOver = false
-    const calls = runCallers(fleet, () => isOver, { namesFirstRequest })
-    for (let round = 1; round <= ROUNDS; round += 1) {
-      await sleep(RUN_MS)
-      await replaceAndKillEntries(fleet, `v${round + 1}`)
-    }
-    await sleep(SETTLE_MS)
-    isOver = true
-    assertNotMixed(await calls)
+    assertNotMixed(await runCallersThrough(fleet, { rounds: ROUNDS, pauseMs: RUN_MS, namesFirstRequest, disturb: (round) => replaceAndKillEntries(fleet, `v${round + 2}`) }))
   }))
 }
 
--- a/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
+++ b/packages/bendfall-fakes/src/__tests__/unit/VersionHarness.ts
@@ -227,33 +227,57 @@
   }
 }
 
+/** Disturbances while callers run. */
+export interface Disturbances extends Pick<CallerOptions, 'namesFirstRequest'> {
+  /** Planned number of disturbances. */
+  readonly rounds: number
+  /** Time before each of them. */
+  readonly pauseMs: number
+  readonly disturb: (round: number) => Promise<void>
+}
+
 /**
- * Runs callers while entries are killed, and goes on with the kills until enough streams were resumed:
+ * Runs callers while entries are killed, and goes on with the disturbances until enough streams were resumed:
  * a kill breaks off few of them when most callers still wait for their first event, and callers may
  * give up before entries have started again on a busy machine.
  *
- * @param fleet - fleet whose entries are killed
- * @param rounds - entries to kill together, in this order
- * @param pauseMs - time between the restart of entries and the next kill
+ * @param fleet - fleet that the callers use
+ * @param disturbances - what is done to it, and how often
  * @returns the streams and their counts
  */
-export async function runCallersThroughKills (fleet: VersionFleet, rounds: ReadonlyArray<readonly number[]>, pauseMs: number): Promise<VersionTally> {
+export async function runCallersThrough (fleet: VersionFleet, { disturb, namesFirstRequest, pauseMs, rounds }: Disturbances): Promise<VersionTally> {
   const streams: CallerStream[] = []
   let isOver = false
   let receiving = 0
-  const isReceiving = (): boolean => receiving >= MIN_RECEIVING
-  const calls = runCallers(fleet, () => isOver, { streams, onReceiving: (change) => { receiving += change } })
+  const calls = runCallers(fleet, () => isOver, { streams, namesFirstRequest, onReceiving: (change) => { receiving += change } })
   let endsAtMs = Infinity
-  for (let round = 0; round < rounds.length || (countResumed(streams) < MIN_RESUMED && performance.now() < endsAtMs); round += 1) {
-    if (round === rounds.length) endsAtMs = performance.now() + MAX_EXTRA_MS
+  const isReceiving = (): boolean => receiving >= MIN_RECEIVING
+  const waitForReceivers = async (): Promise<void> => {
+    while (!isReceiving() && performance.now() < endsAtMs) await sleep(RECEIVING_CHECK_MS)
+  }
+  const isToGoOn = (round: number): boolean => round < rounds || (countResumed(streams) < MIN_RESUMED && performance.now() < endsAtMs)
+  for (let round = 0; isToGoOn(round); round += 1) {
+    if (round === rounds) endsAtMs = performance.now() + MAX_EXTRA_MS
     await sleep(pauseMs)
-    while (round >= rounds.length && !isReceiving() && performance.now() < endsAtMs) await sleep(RECEIVING_CHECK_MS)
-    await fleet.killEntries(rounds[round % rounds.length] as readonly number[])
+    if (round >= rounds) await waitForReceivers()
+    await disturb(round)
   }
   isOver = true
   return await calls
 }
 
+/**
+ * Runs callers while entries are killed and start again at once.
+ *
+ * @param fleet - fleet whose entries are killed
+ * @param rounds - entries to kill together, in this order
+ * @param pauseMs - time between the restart of entries and the next kill
+ * @returns the streams and their counts
+ */
+export function runCallersThroughKills (fleet: VersionFleet, rounds: ReadonlyArray<readonly number[]>, pauseMs: number): Promise<VersionTally> {
+  return runCallersThrough(fleet, { rounds: rounds.length, pauseMs, disturb: (round) => fleet.killEntries(rounds[round % rounds.length] as readonly number[]) })
+}
+
 /**
  * Replaces all replicas by those of another version, and kills all entries before the streams of the former ones end.
  *
